--- /dev/null
+++ b/internal/wire/decode.go
@@ -0,0 +1,358 @@
+// Package wire reads and writes the line protocol of the bench. It holds no
+// decisions: it turns lines into the events of package policy, and actions
+// into lines.
+package wire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"yardcleat.example/yardcleat/policy"
+)
+
+// Configure starts an instance, with nothing remembered.
+type Configure struct {
+	Seed     uint64
+	Settings policy.Settings
+}
+
+// Kill ends an instance.
+type Kill struct{}
+
+// Item is one event of a batch for one instance. Event is a policy.Event, a
+// Configure or a Kill; it is nil for an event no decision needs.
+type Item struct {
+	Node  string
+	Line  int
+	Event any
+}
+
+// Batch is what happens at one instant.
+type Batch struct {
+	Now   time.Duration
+	Items []Item
+}
+
+// Decoder reads batches.
+type Decoder struct {
+	r      *bufio.Reader
+	line   int
+	tables map[int][]policy.Server
+}
+
+// NewDecoder returns a Decoder that reads from r.
+func NewDecoder(r io.Reader) *Decoder {
+	return &Decoder{r: bufio.NewReaderSize(r, 1<<16), tables: map[int][]policy.Server{}}
+}
+
+// Line is the number of the line read last.
+func (d *Decoder) Line() int { return d.line }
+
+func (d *Decoder) next() (string, error) {
+	s, err := d.r.ReadString('\n')
+	if err != nil && !(errors.Is(err, io.EOF) && s != "") {
+		return "", err
+	}
+	d.line++
+	return strings.TrimRight(s, "\r\n"), nil
+}
+
+func (d *Decoder) fail(format string, args ...any) error {
+	return fmt.Errorf("line %d: %s", d.line, fmt.Sprintf(format, args...))
+}
+
+// Next reads one batch. It returns io.EOF at the end of input between
+// batches; every other error names the line and the reason.
+func (d *Decoder) Next() (Batch, error) {
+	var b Batch
+	head := ""
+	for head == "" {
+		s, err := d.next()
+		if errors.Is(err, io.EOF) {
+			return b, io.EOF
+		}
+		if err != nil {
+			return b, d.fail("%v", err)
+		}
+		head = s
+	}
+	f := parser{words: strings.Split(head, " ")}
+	if f.text() != "FRAME" {
+		return b, d.fail("a batch starts with FRAME, not %q", clip(head))
+	}
+	b.Now = f.ms()
+	if err := f.end(); err != nil {
+		return b, d.fail("FRAME: %v", err)
+	}
+	for {
+		s, err := d.next()
+		if errors.Is(err, io.EOF) {
+			return b, d.fail("input ends inside a batch")
+		}
+		if err != nil {
+			return b, d.fail("%v", err)
+		}
+		if s == "EOF_BATCH" {
+			return b, nil
+		}
+		item, ok, err := d.event(s)
+		if err != nil {
+			return b, err
+		}
+		if ok {
+			b.Items = append(b.Items, item)
+		}
+	}
+}
+
+func (d *Decoder) event(s string) (Item, bool, error) {
+	f := parser{words: strings.Split(s, " ")}
+	verb := f.text()
+	if verb == "TABLE" {
+		return Item{}, false, d.table(&f)
+	}
+	it := Item{Line: d.line}
+	it.Node = f.text()
+	switch verb {
+	case "CONFIGURE":
+		c := Configure{Seed: f.uint(64)}
+		if f.err == nil {
+			c.Settings, f.err = settings(f.words)
+			f.words = nil
+		}
+		it.Event = c
+	case "CRASH_NOW":
+		it.Event = Kill{}
+	case "MEMBERSHIP":
+		kind, known := memberKinds[f.text()]
+		f.skip() // the list's version
+		m := policy.Members{Kind: kind}
+		page := f.text()
+		if f.err == nil && !known {
+			return it, false, d.fail("MEMBERSHIP: unknown kind")
+		}
+		if f.err == nil && kind != policy.AskFailed {
+			n, err := strconv.Atoi(page)
+			list, have := d.tables[n]
+			if err != nil || !have {
+				return it, false, d.fail("MEMBERSHIP: no list %q", clip(page))
+			}
+			m.Servers = list
+		}
+		it.Event = m
+	case "INGRESS":
+		r := policy.Request{ID: f.id(), Spread: f.int(), Class: f.text(), First: f.int(), Remaining: f.ms()}
+		r.Units = f.num()
+		r.Retry = f.int()&2 != 0
+		r.Customer = f.text()
+		r.Plan = f.text()
+		it.Event = r
+	case "ACCEPTED":
+		it.Event = policy.Started{ID: f.id(), Attempt: f.int(), Server: f.server()}
+		f.skip() // latency
+	case "VERDICT":
+		o := policy.Outcome{ID: f.id(), Attempt: f.int()}
+		f.skip() // the meter's figure: peers' totals are what counts here
+		o.Latency = f.ms()
+		o.Server = f.server()
+		o.Over = f.bool()
+		o.Actual = f.num()
+		o.Code = f.code()
+		o.Load = f.row()
+		it.Event = o
+	case "LAPSED":
+		it.Event = policy.Gone{ID: f.id()}
+	case "ELAPSED":
+		it.Event = policy.Timer{Token: f.text()}
+	case "WHISPER":
+		it.Event = policy.PeerMessage{From: f.int(), Data: f.bytes()}
+	case "PROBE_RESULT":
+		f.server()
+		f.code()
+		f.ms()
+		f.row()
+	case "LEDGER_REPLY":
+		f.skip()
+		f.code()
+		f.num()
+		f.ms()
+	default:
+		return it, false, d.fail("unknown event %q", clip(verb))
+	}
+	if err := f.end(); err != nil {
+		return it, false, d.fail("%s: %v", verb, err)
+	}
+	return it, true, nil
+}
+
+var memberKinds = map[string]policy.MembersKind{"changes": policy.Changes, "all": policy.Whole,
+	"remembered": policy.Remembered, "refused": policy.AskFailed}
+
+var states = map[string]policy.State{"Running": policy.Running, "Stopping": policy.Draining,
+	"Deleted": policy.Removed}
+
+var codes = map[string]policy.Code{"OK": policy.OK, "INTERNAL": policy.Error,
+	"RESOURCE_EXHAUSTED": policy.Full, "DEADLINE_EXCEEDED": policy.TimedOut,
+	"UNAVAILABLE": policy.ConnectFailed, "ABORTED": policy.Reset, "CANCELLED": policy.Cancelled,
+	"TOO_LATE": policy.Moot}
+
+func (d *Decoder) table(f *parser) error {
+	page, n := f.int(), f.int()
+	if err := f.end(); err != nil {
+		return d.fail("TABLE: %v", err)
+	}
+	if n < 0 || n > 1<<20 {
+		return d.fail("TABLE: %d entries", n)
+	}
+	var list []policy.Server
+	for range n {
+		s, err := d.next()
+		if err != nil {
+			return d.fail("input ends inside a list")
+		}
+		e := parser{words: strings.Split(s, " ")}
+		if e.text() != "M" {
+			return d.fail("a list entry starts with M, not %q", clip(s))
+		}
+		start := e.num()
+		sv := policy.Server{HasStart: start > 0, Start: duration(start), Weight: e.num(), Zone: e.text()}
+		sv.Cell = e.int()
+		state, known := states[e.text()]
+		e.skip() // the machine's kind
+		sv.State, sv.ID = state, e.server()
+		if err := e.end(); err != nil {
+			return d.fail("M: %v", err)
+		}
+		if !known {
+			return d.fail("M: unknown state")
+		}
+		list = append(list, sv)
+	}
+	d.tables[page] = list
+	return nil
+}
+
+// parser takes the fields of a line one by one and keeps the first error.
+type parser struct {
+	words []string
+	err   error
+}
+
+func (p *parser) text() string {
+	if len(p.words) == 0 {
+		p.note("too few fields")
+		return ""
+	}
+	w := p.words[0]
+	p.words = p.words[1:]
+	return w
+}
+
+func (p *parser) skip() { p.text() }
+
+func (p *parser) note(format string, args ...any) {
+	if p.err == nil {
+		p.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (p *parser) end() error {
+	if len(p.words) > 0 {
+		p.note("too many fields")
+	}
+	return p.err
+}
+
+func (p *parser) num() float64 {
+	w := p.text()
+	if w == "-" || p.err != nil {
+		return 0
+	}
+	v, err := strconv.ParseFloat(w, 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		p.note("%q is no number", clip(w))
+		return 0
+	}
+	return v
+}
+
+func duration(ms float64) time.Duration {
+	return time.Duration(math.Round(ms * float64(time.Millisecond)))
+}
+
+func (p *parser) ms() time.Duration { return duration(p.num()) }
+
+func (p *parser) int() int { return int(p.num()) }
+
+func (p *parser) uint(bits int) uint64 {
+	w := p.text()
+	v, err := strconv.ParseUint(w, 10, bits)
+	if err != nil {
+		p.note("%q is no whole number", clip(w))
+	}
+	return v
+}
+
+func (p *parser) server() policy.ServerID { return policy.ServerID(p.uint(32)) }
+
+func (p *parser) id() policy.RequestID {
+	w := p.text()
+	v, err := strconv.ParseUint(w, 16, 64)
+	if err != nil || len(w) != 16 {
+		p.note("%q is no request id", clip(w))
+	}
+	return policy.RequestID(v)
+}
+
+func (p *parser) bool() bool { return p.text() == "1" }
+
+func (p *parser) code() policy.Code {
+	w := p.text()
+	c, known := codes[w]
+	if !known {
+		p.note("unknown ending %q", clip(w))
+	}
+	return c
+}
+
+func (p *parser) row() []float64 {
+	w := p.text()
+	if w == "-" || w == "" {
+		return nil
+	}
+	row := parser{words: strings.Split(w, ",")}
+	var out []float64
+	for len(row.words) > 0 {
+		out = append(out, row.num())
+	}
+	if row.err != nil {
+		p.note("%v", row.err)
+	}
+	return out
+}
+
+func (p *parser) bytes() []byte {
+	w := p.text()
+	if w == "-" {
+		return nil
+	}
+	b, err := base64.StdEncoding.DecodeString(w)
+	if err != nil {
+		p.note("bad base64")
+	}
+	return b
+}
+
+func clip(s string) string {
+	if len(s) > 40 {
+		return s[:40] + "..."
+	}
+	return s
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,98 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"yardcleat.example/yardcleat/policy"
+)
+
+// facts holds the settings of a CONFIGURE line; unknown keys are ignored.
+type facts struct {
+	m   map[string]string
+	err error
+}
+
+func (f *facts) num(key string) float64 {
+	w, have := f.m[key]
+	if !have {
+		return 0
+	}
+	p := parser{words: []string{w}}
+	v := p.num()
+	if p.err != nil && f.err == nil {
+		f.err = fmt.Errorf("%s: %v", key, p.err)
+	}
+	return v
+}
+
+func (f *facts) ms(key string) time.Duration { return duration(f.num(key)) }
+func (f *facts) int(key string) int          { return int(f.num(key)) }
+func (f *facts) bool(key string) bool        { return f.m[key] == "true" || f.m[key] == "1" }
+
+var effects = map[string]policy.Effect{"repeatable": policy.Safe, "by_key": policy.Keyed,
+	"once": policy.Unsafe}
+
+var groups = map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll,
+	"zone": policy.GroupZone, "cell": policy.GroupCell}
+
+func settings(pairs []string) (policy.Settings, error) {
+	f := facts{m: make(map[string]string, len(pairs))}
+	for _, p := range pairs {
+		if p == "" {
+			continue
+		}
+		k, v, ok := strings.Cut(p, "=")
+		if !ok {
+			return policy.Settings{}, fmt.Errorf("setting %q has no value", clip(p))
+		}
+		f.m[k] = v
+	}
+	s := policy.Settings{
+		Me: f.int("me"), Gateways: f.int("balancers"), Zone: f.m["zone"],
+		Resolution: f.ms("tick_ms"), MaxAttempts: f.int("caps.max_attempts"),
+		CanCancel: f.bool("caps.cancel"), CanTell: f.bool("caps.peers"),
+		MailPerSecond: f.num("family_info.mail_per_s"), LargestUnits: f.num("family_info.largest"),
+		MustAsk:       f.m["discovery"] == "ask",
+		SizeKnown:     f.m["weight_kind"] == "nominal" || f.m["weight_kind"] == "rough",
+		CrossZoneCost: f.num("charges.cross_zone"),
+		AnswerSlack:   f.ms("rules.answer_slack_ms"), ColdShare: f.num("rules.cold_share"),
+		WarmWithin: f.ms("rules.warm_within_ms"), FallMultiple: f.num("rules.fall_multiple"),
+		FallTime: f.ms("rules.fall_ms"),
+	}
+	if f.bool("caps.retry_after") {
+		s.MaxRetryAfter = f.ms("caps.max_retry_after_ms")
+	}
+	if names := f.m["report.names"]; names != "" {
+		s.ReportNames = strings.Split(names, ",")
+	}
+	count := func(key string) int {
+		n := f.int(key)
+		if (n < 0 || n > 1000) && f.err == nil {
+			f.err = fmt.Errorf("%s: %d", key, n)
+			return 0
+		}
+		return n
+	}
+	for i := range count("classes.count") {
+		k := "classes." + strconv.Itoa(i) + "."
+		effect, known := effects[f.m[k+"semantics"]]
+		group, grouped := groups[f.m[k+"group"]]
+		if (!known || !grouped) && f.err == nil {
+			f.err = fmt.Errorf("%ssemantics or %sgroup: unknown", k, k)
+		}
+		s.Classes = append(s.Classes, policy.Class{Name: f.m[k+"name"], Aim: f.ms(k + "aim_ms"),
+			Deadline: f.ms(k + "hard_limit_ms"), Effect: effect, Group: group,
+			Window: f.ms(k + "window_ms"), Stream: f.bool(k + "stream")})
+	}
+	for i := range count("plans.count") {
+		k := "plans." + strconv.Itoa(i) + "."
+		s.Plans = append(s.Plans, policy.Plan{Name: f.m[k+"name"], Rate: f.num(k + "rate"),
+			Burst: f.num(k + "store_size"), Open: f.int(k + "parallel"),
+			BeyondEarns: f.num(k + "beyond_earns"), BeyondCosts: f.num(k + "beyond_costs"),
+			HardRate: f.num(k + "hard_rate"), HardBurst: f.num(k + "hard_burst")})
+	}
+	return s, f.err
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,248 @@
+package policy
+
+import "time"
+
+// RequestID names one try of a client at one gateway. An ID is never reused.
+type RequestID uint64
+
+// ServerID names a server; it is the same at every gateway.
+type ServerID uint32
+
+// Effect says what a repeat of a request does.
+type Effect int
+
+// The kinds of effect.
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // repeats are dropped inside a group of servers, for a time
+	Unsafe               // must not run twice
+)
+
+// Group says which servers drop repeats of a keyed request.
+type Group int
+
+// The groups.
+const (
+	GroupAll  Group = iota // all servers
+	GroupZone              // those of one zone
+	GroupCell              // those of one cell
+)
+
+// Class holds the settings of a class of request.
+type Class struct {
+	Name     string
+	Aim      time.Duration // an answer within it earns full worth
+	Deadline time.Duration // a client waits this long, over all its tries
+	Effect   Effect
+	Group    Group         // for Keyed
+	Window   time.Duration // for Keyed: how long repeats are remembered
+	Stream   bool          // the answer is a stream, announced by Started
+}
+
+// Plan holds the quotas of each customer on a plan, over all gateways.
+type Plan struct {
+	Name        string
+	Rate        float64 // units a second; 0: no rate quota
+	Burst       float64 // most units the quota's store holds
+	Open        int     // most attempts out at once; 0: no such quota
+	BeyondEarns float64 // share of the worth earned beyond the quota
+	BeyondCosts float64 // share of the worth charged beyond the quota
+	HardRate    float64 // units a second of the hard ceiling; 0: none
+	HardBurst   float64 // most units the ceiling's store holds
+}
+
+// Settings is what a gateway is told at its start.
+type Settings struct {
+	Me       int // number of this gateway, from 0
+	Gateways int // how many gateways there are
+	Zone     string
+	Classes  []Class
+	Plans    []Plan
+
+	Resolution    time.Duration // least time between two events in sequence
+	MaxAttempts   int           // attempts allowed for one request; 0: any number
+	CanCancel     bool          // Cancel is permitted
+	CanTell       bool          // Tell is permitted
+	MailPerSecond float64       // peer messages a gateway takes in a second
+	LargestUnits  float64       // most units of one request
+	MaxRetryAfter time.Duration // longest advice clients heed; 0: no advice
+	MustAsk       bool          // server changes come only to those that Watch
+	SizeKnown     bool          // Server.Weight is the size of the machine
+	CrossZoneCost float64       // charge for an attempt that crosses zones
+	ReportNames   []string      // names of the values in Load
+
+	AnswerSlack  time.Duration // final answers are in time this long after a deadline
+	ColdShare    float64       // a starting server has at least this share of its capacity
+	WarmWithin   time.Duration // and all of it this long after its start
+	FallMultiple float64       // a cold server falls when sent this multiple of its capacity
+	FallTime     time.Duration // for this long
+}
+
+// Names of load report values the module understands.
+const (
+	LoadActive  = "active"  // requests in progress
+	LoadWaiting = "waiting" // requests queued
+)
+
+// Code says how an attempt ended.
+type Code int
+
+// The ends of an attempt. NeverRan tells which prove that it never ran.
+const (
+	OK Code = iota
+	Error
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// NeverRan reports whether the code proves that the attempt never ran.
+func (c Code) NeverRan() bool { return c == Full || c == ConnectFailed || c == Moot }
+
+// Event is something a gateway is told.
+type Event interface{ event() }
+
+// Request is a client's try. Exactly one final answer is owed for it.
+type Request struct {
+	ID        RequestID
+	Customer  string
+	Plan      string
+	Class     string
+	Units     float64
+	Remaining time.Duration // until the client gives up this try
+	First     int           // the customer comes in through Spread gateways, at least
+	Spread    int           // one, counted round from First; this one is among them
+	Retry     bool          // the client marked it as a repeat
+}
+
+// Started tells that the answer of a streamed class has begun.
+type Started struct {
+	ID      RequestID
+	Attempt int
+	Server  ServerID
+}
+
+// Outcome tells how an attempt ended; there is one for each Send.
+type Outcome struct {
+	ID      RequestID
+	Attempt int // attempts of a request count from 0
+	Server  ServerID
+	Code    Code
+	Latency time.Duration
+	Over    bool      // the request has its final answer
+	Actual  float64   // true units, where they are settled afterwards; else 0
+	Load    []float64 // load report, as Settings.ReportNames; or nil
+}
+
+// Gone tells that the client left; nothing more is owed for the request.
+type Gone struct{ ID RequestID }
+
+// Timer tells that a timer set by SetTimer has run out.
+type Timer struct{ Token string }
+
+// PeerMessage is what another gateway sent with Tell.
+type PeerMessage struct {
+	From int
+	Data []byte
+}
+
+// State is a server's state in the list.
+type State int
+
+// The states of a server.
+const (
+	Running State = iota
+	Draining
+	Removed
+)
+
+// Server is one line of the server list.
+type Server struct {
+	ID       ServerID
+	Zone     string
+	Cell     int
+	State    State
+	HasStart bool
+	Start    time.Duration // time of its last start, where HasStart
+	Weight   float64
+}
+
+// MembersKind says what a Members event holds.
+type MembersKind int
+
+// The kinds of Members event.
+const (
+	Changes    MembersKind = iota // changed servers only
+	Whole                         // the whole list; a server not in it is gone
+	Remembered                    // a whole list, as last held; may be old
+	AskFailed                     // Watch failed; keep the list
+)
+
+// Members brings the server list or changes to it.
+type Members struct {
+	Kind    MembersKind
+	Servers []Server
+}
+
+// Action is something a gateway wants done.
+type Action interface{ action() }
+
+// Send starts an attempt. Timeout 0 means until the client gives up.
+type Send struct {
+	ID      RequestID
+	Server  ServerID
+	Timeout time.Duration
+}
+
+// Cancel stops waiting for an attempt; its Outcome still comes.
+type Cancel struct {
+	ID      RequestID
+	Attempt int
+}
+
+// Refuse is the final answer that says a retry is harmless.
+type Refuse struct {
+	ID         RequestID
+	RetryAfter time.Duration // advice to the client; 0: none
+}
+
+// Fail is the final answer that promises nothing.
+type Fail struct{ ID RequestID }
+
+// SetTimer asks for a Timer event after a time.
+type SetTimer struct {
+	Token string
+	After time.Duration
+}
+
+// Tell sends at most 256 bytes to another gateway; it may be lost.
+type Tell struct {
+	To   int
+	Data []byte
+}
+
+// Watch asks for the server list and its changes from now on.
+type Watch struct{}
+
+// Log writes a line for the operators.
+type Log struct{ Text string }
+
+func (Request) event()     {}
+func (Started) event()     {}
+func (Outcome) event()     {}
+func (Gone) event()        {}
+func (Timer) event()       {}
+func (PeerMessage) event() {}
+func (Members) event()     {}
+
+func (Send) action()     {}
+func (Cancel) action()   {}
+func (Refuse) action()   {}
+func (Fail) action()     {}
+func (SetTimer) action() {}
+func (Tell) action()     {}
+func (Watch) action()    {}
+func (Log) action()      {}
--- /dev/null
+++ b/policy/large_test.go
@@ -0,0 +1,297 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// crowd drives hundreds of gateways by hand, a message taking 20 ms.
+type crowd struct {
+	t    *testing.T
+	now  time.Duration
+	gs   []*Gateway
+	mail []letter
+	lose func(from, to int) bool
+
+	told   int // messages, by receiver
+	sends  []Send
+	from   []int
+	sentAt []time.Duration
+	over   int // sends that have ended
+	final  int
+}
+
+type letter struct {
+	at       time.Duration
+	from, to int
+	data     []byte
+}
+
+func newCrowd(t *testing.T, n int, servers []Server) *crowd {
+	t.Helper()
+	c := &crowd{t: t, now: 10 * time.Second, lose: func(int, int) bool { return false }}
+	for i := range n {
+		s := base()
+		s.Me, s.Gateways = i, n
+		g, err := New(s, uint64(i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.gs = append(c.gs, g)
+		c.do(i, Members{Kind: Remembered, Servers: servers})
+	}
+	return c
+}
+
+func (c *crowd) do(i int, ev Event) {
+	for _, a := range c.gs[i].Handle(c.now, ev, nil) {
+		switch a := a.(type) {
+		case Tell:
+			if len(a.Data) > 256 || a.To >= len(c.gs) || a.To == i {
+				c.t.Fatalf("gateway %d tells %d %d bytes", i, a.To, len(a.Data))
+			}
+			for to := range c.gs {
+				if to == a.To || a.To < 0 && to != i {
+					c.told++
+					if !c.lose(i, to) {
+						c.mail = append(c.mail, letter{c.now + 20*ms, i, to, a.Data})
+					}
+				}
+			}
+		case Send:
+			c.sends, c.from, c.sentAt = append(c.sends, a), append(c.from, i), append(c.sentAt, c.now)
+		case Refuse, Fail:
+			c.final++
+		}
+	}
+}
+
+// pass lets time go by in steps of 10 ms, each attempt ending well after 50.
+func (c *crowd) pass(d time.Duration, step func(at time.Duration)) {
+	for end := c.now + d; c.now < end; {
+		c.now += 10 * ms
+		var due []letter
+		for len(c.mail) > 0 && c.mail[0].at <= c.now {
+			due, c.mail = append(due, c.mail[0]), c.mail[1:]
+		}
+		for _, l := range due {
+			c.do(l.to, PeerMessage{From: l.from, Data: l.data})
+		}
+		for i := range c.gs {
+			c.do(i, Timer{Token: "ask"})
+			if (c.now/ms/10+time.Duration(i))%25 == 0 {
+				c.do(i, Timer{Token: "tick"})
+			}
+		}
+		for ; c.over < len(c.sends) && c.sentAt[c.over]+50*ms <= c.now; c.over++ {
+			s := c.sends[c.over]
+			c.do(c.from[c.over], Outcome{ID: s.ID, Server: s.Server, Code: OK, Latency: 50 * ms, Over: true})
+		}
+		if step != nil {
+			step(c.now)
+		}
+	}
+}
+
+func (c *crowd) request(i int, id RequestID, customer, plan, class string, spread int) {
+	c.do(i, Request{ID: id, Customer: customer, Plan: plan, Class: class, Units: 1,
+		Remaining: 2 * time.Second, Spread: spread})
+}
+
+// Hundreds of gateways, each seeing few requests of a customer that asks five
+// times its quota, pass no more than the quota together and leave little of it
+// unused, with a few messages a request.
+func TestHundredsOfGatewaysKeepTheQuota(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		every int // a request in each such step of 10 ms
+		lost  int // a message in so many is lost
+		least int
+	}{
+		{"far above", 2, 1 << 30, 85}, {"far above, mail lost", 2, 12, 85}, {"inside", 20, 1 << 30, 50},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newCrowd(t, 300, fleet(40))
+			n := 0
+			w.lose = func(int, int) bool { n++; return n%c.lost == 0 }
+			asked := 0
+			w.pass(10*time.Second, func(at time.Duration) {
+				if int(at/ms/10)%c.every == 0 && at < 19*time.Second {
+					asked++
+					w.request(asked*37%200, RequestID(asked), "k", "rate", "safe", 200)
+				}
+			})
+			passed := len(w.sends)
+			if most := 10 + 10*10; passed > most*23/20 || passed < min(c.least, asked) {
+				t.Errorf("%d of %d passed, the quota holds %d", passed, asked, most)
+			}
+			if passed+w.final != asked {
+				t.Errorf("%d passed and %d refused of %d", passed, w.final, asked)
+			}
+			if w.told > 6*asked {
+				t.Errorf("%d messages for %d requests", w.told, asked)
+			}
+		})
+	}
+}
+
+// A root that answers nothing must not stop its customers: the deputy counts
+// for it.
+func TestDeputyStepsIn(t *testing.T) {
+	w := newCrowd(t, 100, fleet(20))
+	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["rate"], 0, 50)
+	roots, deputy := w.gs[0].roots(c)
+	w.lose = func(from, to int) bool { return to == roots[0] || from == roots[0] }
+	asked := 0
+	w.pass(8*time.Second, func(at time.Duration) {
+		if i := asked * 7 % 50; int(at/ms/10)%5 == 0 && at < 17*time.Second && i != roots[0] {
+			w.request(i, RequestID(asked+1), "k", "rate", "safe", 50)
+		}
+		asked++
+	})
+	if n := len(w.sends); n < 45 || n > 120 {
+		t.Errorf("%d passed with root %v lost and deputy %d, the quota holds 90", n, roots, deputy)
+	}
+}
+
+// Least parts of one each would let hundreds of gateways push a cold server
+// over together.
+func TestColdShareIsBoundedOverTheFleet(t *testing.T) {
+	servers := fleet(20)
+	servers[0].HasStart, servers[0].Start = true, 10*time.Second
+	w := newCrowd(t, 300, servers)
+	for _, g := range w.gs { // the warm ones are all slow
+		for _, s := range g.fleet[1:] {
+			s.slow = mostPace
+		}
+	}
+	id := 0
+	for range 4 {
+		for i := range w.gs {
+			id++
+			w.request(i, RequestID(id), "k", "free", "safe", 300)
+		}
+	}
+	cold := 0
+	for _, s := range w.sends {
+		if s.Server == 1 {
+			cold++
+		}
+	}
+	// An even share is 60; the server has a fifth of its capacity, and falls
+	// at twice that.
+	if cold > 24 {
+		t.Errorf("%d of %d sent to a server that bears %d", cold, len(w.sends), 24)
+	}
+}
+
+// A watcher hears of one class failing on a server and tells all; the other
+// classes still go there.
+func TestWatcherTellsOfOneClass(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	s := w.gs[0].servers[3]
+	id := 0
+	for range 6 {
+		for i := range 12 {
+			from := (s.watchers[0] + 1 + i) % 100
+			w.do(from, PeerMessage{From: s.watchers[0], Data: []byte{shortVersion}}) // foreign: nothing
+			g := w.gs[from]
+			w.do(s.watchers[0], PeerMessage{From: from,
+				Data: encode(sight{uint32(s.ID), byte(g.classes["safe"].no), byte(Error), 5})})
+			w.do(s.watchers[0], PeerMessage{From: from,
+				Data: encode(sight{uint32(s.ID), byte(g.classes["once"].no), byte(OK), 80})})
+		}
+	}
+	w.pass(100*ms, nil)
+	hits := map[string]int{}
+	for _, class := range []string{"safe", "once"} {
+		before := len(w.sends)
+		for i := range w.gs {
+			if i != s.watchers[0] {
+				for range 4 {
+					id++
+					w.request(i, RequestID(id), "k", "free", class, 100)
+				}
+			}
+		}
+		for _, x := range w.sends[before:] {
+			if x.Server == s.ID {
+				hits[class]++
+			}
+		}
+	}
+	if hits["safe"] > 0 || hits["once"] < 5 {
+		t.Errorf("sent to a server that fails one class: %v", hits)
+	}
+}
+
+// The watcher may be lost with the server: one that can't be reached is told
+// to a second.
+func TestSecondWatcherTellsOfUnreachable(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	s := w.gs[0].servers[3]
+	w.lose = func(from, to int) bool { return from == s.watchers[0] || to == s.watchers[0] }
+	cl := w.gs[70].classes["safe"]
+	for range 6 {
+		w.gs[70].now, w.gs[70].acts = w.now, nil
+		w.gs[70].sight(w.gs[70].servers[3], cl, ConnectFailed, 250*ms)
+		acts := w.gs[70].acts
+		for _, a := range of[Tell](acts) {
+			if a.To == s.watchers[1] {
+				w.do(a.To, PeerMessage{From: 70, Data: a.Data})
+			}
+		}
+	}
+	w.pass(100*ms, nil)
+	if v := w.gs[20].record(w.gs[20].servers[3], cl); !v.bad {
+		t.Error("a gateway far off has not heard of it")
+	}
+}
+
+// An ask that comes twice counts once, and is answered twice: the first answer
+// may be lost.
+func TestRepeatedAskCountsOnce(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["rate"], 0, 50)
+	roots, _ := w.gs[0].roots(c)
+	m := encode(ask{Customer: keyOf("k"), Spread: 50, Plan: 1, Units: 4, Left: 2000, Tag: 9, Thin: 250, Fill: unknownStore})
+	for range 3 {
+		w.do(roots[0], PeerMessage{From: 99, Data: m})
+	}
+	if got := w.gs[roots[0]].customers[keyOf("k")].passed; got != 4 || w.told != 3 {
+		t.Errorf("%d units counted, %d answers", got, w.told)
+	}
+}
+
+// A try without time left is refused at once: it can't wait for its root.
+func TestNoTimeLeftIsRefused(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	for i := range 20 {
+		w.do(i, Request{ID: RequestID(i + 1), Customer: "k", Plan: "rate", Class: "safe", Units: 1, Spread: 100})
+	}
+	if w.final != 20 || len(w.sends) > 0 {
+		t.Errorf("%d refused, %d sent", w.final, len(w.sends))
+	}
+}
+
+// Times are rounded on their way: a timer that comes a little before its time
+// must not leave a request with no timer at all.
+func TestTimerARoundingEarly(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["rate"], 0, 50)
+	roots, deputy := w.gs[0].roots(c)
+	i := 0
+	for i == roots[0] || i == deputy {
+		i++
+	}
+	acts := w.gs[i].Handle(w.now, Request{ID: 1, Customer: "k", Plan: "rate", Class: "safe", Units: 1,
+		Remaining: time.Second, Spread: 50}, nil)
+	timers := of[SetTimer](acts)
+	if len(timers) != 1 {
+		t.Fatalf("got %v", acts)
+	}
+	acts = w.gs[i].Handle(w.now+timers[0].After-time.Microsecond/2, Timer{Token: "ask"}, nil)
+	if len(of[Tell](acts)) != 1 || len(of[SetTimer](acts)) != 1 {
+		t.Errorf("not asked again: %v", acts)
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,422 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+type customer struct {
+	key    uint64
+	hash   uint32 // in reports
+	plan   *quota
+	first  int // its gateways: spread of them, counted round from first
+	spread int
+	ask    []int   // the gateways that sum its counts, where this one does not
+	part   float64 // of what is asked for fits, as its root said
+	partAt time.Duration
+	sums   bool             // others ask it here, as its root or deputy
+	leases map[lease]leased // granted to others and not told of as ended
+	set    []*peerView      // its other gateways
+	n      float64          // its gateways, this one included
+	held   []*request       // waiting, in arrival order
+	out    int
+	seen   time.Duration // its last request
+	area   float64       // integral of out over the tick, for its mean
+	areaAt time.Duration
+	mean   float64
+
+	at        time.Duration // time of the stores below
+	store     float64       // estimate of the quota's store
+	known     bool          // the estimate rests on more than a fresh start
+	ceiling   float64       // own hard part of the ceiling
+	passed    uint16        // running totals of units, told to peers
+	rate      float64       // own asked units, decayed over demandSpan
+	fresh     int           // ticks for which a change is still told
+	told      uint32        // tick of the last report
+	toldUnits uint16        // passed, as last told
+	urgency   float64       // its place in the report
+}
+
+// quota is a plan with its place in the settings.
+type quota struct {
+	Plan
+	no byte
+}
+
+// lease names a request that another gateway asked for.
+type lease struct {
+	from int
+	tag  uint32
+}
+
+type leased struct {
+	until time.Duration
+	r     *request
+}
+
+// take takes a request's units from the stores.
+func (c *customer) take(r *request) {
+	c.store = max(0, c.store-r.units)
+	if !r.granted {
+		c.ceiling -= r.units
+	}
+	c.passed += uint16(r.units)
+}
+
+// record is what the fleet knows of a server for one class.
+type record struct {
+	errs  float64       // the watcher's average
+	okAt  time.Duration // its last answer here
+	bad   bool          // out of use for the class, until a time
+	until time.Duration
+	wait  time.Duration // after its last trial
+	trial time.Duration // when the watcher may next try it
+}
+
+// peerView is what one other gateway last said of one customer.
+type peerView struct {
+	p      *peer
+	at     time.Duration
+	heard  bool
+	inc    uint32
+	out    float64
+	held   float64
+	passed uint16
+	rate   float64 // asked units, decayed
+}
+
+type peer struct {
+	num      int
+	inc      uint32
+	seq      uint32
+	at       time.Duration
+	heard    bool
+	complete bool               // its last report named all customers with news
+	outs     map[uint16]float64 // attempts out by server
+	views    []*peerView        // what it said of each customer
+}
+
+type request struct {
+	id       RequestID
+	c        *customer
+	cl       *class
+	units    float64
+	arrived  time.Duration
+	deadline time.Duration
+	attempts int
+	srv      *server // of the attempt out; nil when none is
+	sentAt   time.Duration
+	load     float64 // the server's when sent to
+	counted  bool    // has taken its units
+	ran      bool    // an attempt may have run
+	ranZone  string  // where and since when, for keyed classes
+	ranCell  int
+	ranAt    time.Duration
+	over     bool
+	stream   bool
+	quit     bool    // its attempt was cancelled
+	asks     float64 // with what chance it was asked for
+	repeat   bool    // the client marked it as one
+	remote   bool    // came in at the gateway root, which asks for it
+	root     int     // the gateway asked for it
+	tag      uint32  // by this name
+	asked    int     // how often
+	askedAt  time.Duration
+	until    time.Duration // an answer is waited for until then
+	waits    bool          // held there
+	granted  bool
+	last     *server // of the attempt before
+}
+
+type class struct {
+	Class
+	no   int     // place in the settings
+	mean float64 // seconds an idle server of the fleet takes
+	seen float64 // outcomes it rests on
+}
+
+type server struct {
+	Server
+	hash   uint16
+	out    int
+	slow   float64                  // latency against the fleet's, at equal load
+	heard  float64                  // attempts out there, as the peers last said
+	oldest []*request               // attempts out, oldest first
+	fullAt map[*quota]time.Duration // until then it is taken to turn this plan away
+	sends  []time.Duration          // while cold: recent sends
+
+	weight    float64  // in the draw at hand
+	watchers  [2]int   // the gateways that judge it for all; the second only whether it can be reached
+	by        []record // by class
+	verdicts  float64  // its watcher may send now
+	verdictAt time.Duration
+	pace      float64 // latency against the fleet's, as the watcher learns it
+}
+
+// Gateway decides for one gateway. It is not safe for concurrent use.
+type Gateway struct {
+	set       Settings
+	rng       *rand.Rand
+	inc       uint32
+	seq       uint32
+	tick      time.Duration
+	ticks     uint32
+	begun     bool
+	start     time.Duration
+	now       time.Duration
+	lastTick  time.Duration
+	classes   map[string]*class
+	plans     map[string]*quota
+	customers map[uint64]*customer
+	byHash    map[uint32]*customer
+	ring      []*customer
+	waiting   []*customer
+	reqs      map[RequestID]*request
+	servers   map[ServerID]*server
+	fleet     []*server
+	peers     []*peer
+	budget    float64
+	out       int           // own attempts out, at all servers
+	strain    float64       // average of latency over aim
+	lackAt    time.Duration // when a request last found no server with room
+	sendRate  float64       // own sends to warm servers, decayed over FallTime
+	acts      []Action
+	asked     bool
+	size      float64 // mean weight in the list
+	mean      float64 // seconds an idle server takes, over all classes
+	minAim    float64 // the shortest aim, in seconds
+	heard     float64 // share of asks that are answered
+	own       float64 // weight of an outcome in a server's pace here
+	gate      float64 // part of the requests let in
+	tree      bool    // reports from all to all would be too many
+	asks      map[uint32]*request
+	asking    []*request // in the order asked, answered ones too
+	nextTag   uint32
+	reply     time.Duration // mean time to an answer
+}
+
+func (g *Gateway) do(a Action) { g.acts = append(g.acts, a) }
+
+func (c *customer) count(now time.Duration, d int) {
+	c.area += float64(c.out) * (now - c.areaAt).Seconds()
+	c.areaAt = now
+	c.out += d
+}
+
+// settle takes or gives back units after a guess.
+func (c *customer) settle(units float64) {
+	c.store -= units
+	c.passed += uint16(int(units))
+}
+
+// sent and ended keep the lists of attempts out.
+func (g *Gateway) sent(r *request, s *server) {
+	r.c.count(g.now, 1)
+	r.srv, r.last, r.sentAt, r.load, r.quit = s, s, g.now, g.load(s), false
+	r.attempts++
+	s.out, g.out = s.out+1, g.out+1
+	s.oldest = append(s.oldest, r)
+}
+
+func (g *Gateway) ended(r *request, code Code) {
+	s := r.srv
+	if !code.NeverRan() && !r.ran {
+		r.ran, r.ranZone, r.ranCell, r.ranAt = true, s.Zone, s.Cell, r.sentAt
+	}
+	r.srv, r.stream = nil, false
+	s.out, g.out = s.out-1, g.out-1
+	r.c.count(g.now, -1)
+	if i := slices.Index(s.oldest, r); i >= 0 {
+		s.oldest = slices.Delete(s.oldest, i, i+1)
+	}
+}
+
+// sameGroup tells whether a server drops repeats of what may have run.
+func (r *request) sameGroup(s *server) bool {
+	return (r.cl.Group != GroupZone || s.Zone == r.ranZone) && (r.cl.Group != GroupCell || s.Cell == r.ranCell)
+}
+
+// measure takes each customer's mean of attempts out over a tick.
+func (g *Gateway) measure(dt time.Duration) {
+	for _, c := range g.ring {
+		c.expire(g.now)
+		c.count(g.now, 0)
+		c.mean, c.area = c.area/dt.Seconds(), 0
+	}
+}
+
+// wear lets a part of what is known of a server go.
+func (s *server) wear(part float64) {
+	s.slow += (1 - s.slow) * part
+	for i := range s.by {
+		s.by[i].errs -= s.by[i].errs * part
+	}
+}
+
+// expire drops the leases that have run out.
+func (c *customer) expire(now time.Duration) {
+	for l, v := range c.leases {
+		if now > v.until {
+			delete(c.leases, l)
+			c.count(now, -1)
+		}
+	}
+}
+
+// asked finds a request that another gateway has asked for before: granted, or
+// held here.
+func (c *customer) asked(from int, tag uint32) (r *request, held bool) {
+	if l, ok := c.leases[lease{from, tag}]; ok {
+		return l.r, false
+	}
+	return nil, slices.ContainsFunc(c.held, func(r *request) bool {
+		return r.remote && r.root == from && r.tag == tag
+	})
+}
+
+// views makes room for what each of the others says of a customer.
+func (g *Gateway) views(c *customer, others []int) {
+	for _, num := range others {
+		if num != g.set.Me {
+			v := &peerView{p: g.peer(num)}
+			c.set, v.p.views = append(c.set, v), append(v.p.views, v)
+		}
+	}
+}
+
+// enter puts a customer in the tables. Two of one short hash can't be told
+// apart in reports: none is taken for either.
+func (g *Gateway) enter(c *customer) {
+	g.customers[c.key] = c
+	if _, twice := g.byHash[c.hash]; twice {
+		g.byHash[c.hash] = nil
+	} else {
+		g.byHash[c.hash] = c
+	}
+	g.ring = append(g.ring, c)
+}
+
+// byWeight draws a server by weight, of a sum of at least so much: none for the rest.
+func (g *Gateway) byWeight(list []*server, least float64) *server {
+	sum := 0.0
+	for _, s := range list {
+		sum += s.weight
+	}
+	at := g.rng.Float64() * max(sum, least)
+	for _, s := range list {
+		if at -= s.weight; at < 0 {
+			return s
+		}
+	}
+	return nil
+}
+
+// queue puts a request in its customer's queue, one with units taken first.
+func (g *Gateway) queue(r *request) {
+	if len(r.c.held) == 0 {
+		g.waiting = append(g.waiting, r.c)
+	}
+	if r.counted {
+		r.c.held = slices.Insert(r.c.held, 0, r)
+	} else {
+		r.c.held = append(r.c.held, r)
+	}
+}
+
+// unhold takes the i-th request out of its customer's queue.
+func (g *Gateway) unhold(c *customer, i int) {
+	c.held = slices.Delete(c.held, i, i+1)
+	c.fresh = repeatTicks
+	if len(c.held) == 0 {
+		g.waiting = slices.DeleteFunc(g.waiting, func(w *customer) bool { return w == c })
+	}
+}
+
+func small(v float64) byte { return byte(min(math.Round(v), 255)) }
+
+// size is a server's size against the fleet's mean, where the list tells it.
+func (g *Gateway) sizeOf(s *server) float64 {
+	if g.set.SizeKnown && s.Weight > 0 && g.size > 0 {
+		return s.Weight / g.size
+	}
+	return 1
+}
+
+// newGateway returns a gateway with empty tables.
+func newGateway(s Settings, seed uint64) *Gateway {
+	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		classes: map[string]*class{}, plans: map[string]*quota{}, customers: map[uint64]*customer{},
+		asks:   map[uint32]*request{},
+		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{}}
+	g.inc = g.rng.Uint32()
+	for i, p := range s.Plans {
+		g.plans[p.Name] = &quota{p, byte(i)}
+	}
+	for i, c := range s.Classes {
+		g.classes[c.Name] = &class{Class: c, no: i}
+	}
+	g.peers = make([]*peer, s.Gateways)
+	return g
+}
+
+func (g *Gateway) allPeers() {
+	for i := range g.peers {
+		g.peer(i)
+	}
+}
+
+// peer returns what is known of a gateway.
+func (g *Gateway) peer(num int) *peer {
+	if g.peers[num] == nil {
+		g.peers[num] = &peer{num: num}
+	}
+	return g.peers[num]
+}
+
+// sumLoads sums the peers' attempts out at each server; old counts are let go.
+func (g *Gateway) sumLoads() {
+	if g.tree {
+		return // its reports tell of no servers
+	}
+	for _, s := range g.fleet {
+		s.heard = 0
+		for _, p := range g.peers {
+			if p != nil && !g.silent(p) {
+				s.heard += p.outs[s.hash]
+			}
+		}
+	}
+}
+
+// watch asks for the server list where it must be asked for, once.
+func (g *Gateway) watch() {
+	if g.set.MustAsk && !g.asked {
+		g.asked = true
+		g.do(Watch{})
+	}
+}
+
+// forget drops the customers that have nothing out or held and made no
+// request since a time.
+func (g *Gateway) forget(since time.Duration) {
+	g.ring = slices.DeleteFunc(g.ring, func(c *customer) bool {
+		if c.seen >= since || c.out > 0 || len(c.held) > 0 {
+			return false
+		}
+		if g.byHash[c.hash] == c {
+			delete(g.byHash, c.hash)
+		}
+		for _, v := range c.set {
+			v.p.views = slices.DeleteFunc(v.p.views, func(o *peerView) bool { return o == v })
+		}
+		return true
+	})
+	if len(g.ring) < len(g.customers) {
+		clear(g.customers)
+		for _, c := range g.ring {
+			g.customers[c.key] = c
+		}
+	}
+}
