Judge time-outs and unframed answers rightly; test the node over loopback

Seen: new tests over loopback sockets failed in three places. A time-out after the last byte came to the module as Reset, since fasthttp's parse errors don't wrap the socket's (upstream.go, exchange); the connection now keeps its last read error. A 200 that only the connection's end would end counted as whole, since fasthttp sets its length after reading; answers are now read header first. Refusals during a stop lacked Connection: close, since ctx.Error starts from an empty response (server.go, handle); it is set at the end. Also: a keyed repeat that a dial delays past its window is not written, the known list has to do after 1 s while discovery is silent, and answers over the connection bound close their connection.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -32,14 +32,16 @@
 // commands and carries them out one at a time; all else is the loop's.
 type call struct {
 	policy.Request
+	class   *policy.Class
 	arrived time.Duration
 	budget  time.Duration // how long the client waits
 	cmd     chan command  // room for one: the next is given once the last is done
 
 	due      time.Duration
 	attempts int
-	out      *attempt // nil: none is out
-	final    *command // the answer, once the attempt out has ended
+	ranAt    time.Duration // when the first attempt that may have run was asked for; 0: none
+	out      *attempt      // nil: none is out
+	final    *command      // the answer, once the attempt out has ended
 }
 
 // command is an attempt to carry out, or else the final answer.
@@ -152,6 +154,9 @@
 	c, ev := o.c, policy.Outcome{ID: o.a.id, Attempt: o.a.num, Server: o.a.server, Code: o.code,
 		Latency: l.clock.now() - o.a.sent, Load: o.load}
 	c.out = nil
+	if c.ranAt == 0 && !o.code.NeverRan() {
+		c.ranAt = o.a.sent
+	}
 	switch {
 	case o.code == policy.OK:
 		delete(l.calls, c.ID)
@@ -263,6 +268,10 @@
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
+	a.writeBy = a.deadline
+	if c.ranAt > 0 && c.class.Effect == policy.Keyed {
+		a.writeBy = min(a.writeBy, c.ranAt+c.class.Window)
+	}
 	c.out = a
 	c.cmd <- command{attempt: a}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 const (
 	clientPart, serverPart = 0.5, 0.35
 	sweepEvery             = time.Second
+	knownWait              = time.Second // discovery is given so long before the known list has to do
 )
 
 // The steps of a planned stop. Clients go on coming for up to 0.4 s after the
@@ -53,8 +54,11 @@
 	n.server = newServer(clk, cfg.Settings, up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
 	n.loop.mustAsk = cfg.Settings.MustAsk
 	n.loop.onList = func(kind policy.MembersKind) {
-		if kind == policy.Whole {
+		switch kind {
+		case policy.Whole:
 			n.server.ready.Store(true)
+		case policy.Remembered: // has to do while discovery is silent
+			time.AfterFunc(knownWait, func() { n.server.ready.Store(true) })
 		}
 	}
 	if cfg.Settings.CanTell {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,431 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"yardcleat.example/yardcleat/policy"
+)
+
+// What goes on to an app server, and what comes back, is unchanged; each
+// request is written once.
+func TestServes(t *testing.T) {
+	var got atomic.Value
+	a := newApp(t, func(c net.Conn, r *http.Request, body string) bool {
+		got.Store(fmt.Sprint(r.Method, r.RequestURI, body, r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")))
+		return answer("200 OK", "", "placed\x00")(c, r, body)
+	})
+	n := nodeWith(t, a.addr())
+	for class, want := range map[string]string{
+		"lookup": "GET/lookup?q=19b1f03aa5c7e2d41",
+		"loan":   "POST/loan?q=1order=179b1f03aa5c7e2d415c0f6e1a2b3d4c59a8b7c6d5e4f30211",
+	} {
+		resp, body := ask(t, request(n.url, class, patience))
+		if resp.StatusCode != 200 || body != "placed\x00" || got.Load() != want {
+			t.Errorf("%s: %d %q, sent on %q, want %q", class, resp.StatusCode, body, got.Load(), want)
+		}
+	}
+	if s := a.seen.Load(); s != 2 {
+		t.Errorf("2 requests were written %d times", s)
+	}
+}
+
+// An attempt that never ran goes elsewhere; the client sees one answer.
+func TestGoesElsewhere(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	n := nodeWith(t, refusing(t), a.addr())
+	for range 20 {
+		if resp, body := ask(t, request(n.url, "loan", patience)); resp.StatusCode != 200 || body != "hits" {
+			t.Fatalf("%d %q", resp.StatusCode, body)
+		}
+	}
+}
+
+// A keyed request that may have run goes to its own group of servers only, and
+// a refusal is ruled out: it would say that a retry is harmless.
+func TestKeyedMayHaveRun(t *testing.T) {
+	breaks := func(net.Conn, *http.Request, string) bool { return false }
+	a, b := newApp(t, breaks), newApp(t, breaks)
+	other := serving("s-00000002", b.addr())
+	other.Cell = 1
+	n := start(t, testConfig(t, newRegistry(t, serving("s-00000001", a.addr()), other).addr))
+	resp, _ := ask(t, request(n.url, "loan", patience))
+	if resp.StatusCode != http.StatusBadGateway || a.seen.Load()+b.seen.Load() != 1 {
+		t.Errorf("%d after %d and %d attempts", resp.StatusCode, a.seen.Load(), b.seen.Load())
+	}
+}
+
+// A server that never answers: the client gets a failure before its deadline,
+// and the attempt does not stay out.
+func TestAnswersBeforeTheDeadline(t *testing.T) {
+	a := newApp(t, deaf)
+	n := nodeWith(t, a.addr())
+	resp, _ := ask(t, request(n.url, "loan", 300*time.Millisecond))
+	if resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("%d", resp.StatusCode)
+	}
+	eventually(t, "the end of the attempt", func() bool { return a.ended.Load() == 1 })
+}
+
+// What the module has given up on is answered at once, with its advice.
+func TestRefusesAtOnce(t *testing.T) {
+	n := nodeWith(t, refusing(t))
+	r := request(n.url, "loan", time.Hour)
+	r.Header.Set("X-Tier", "tiny") // its store holds less than the request takes
+	resp, _ := ask(t, r)           // held back, it would come after an hour
+	if resp.StatusCode != http.StatusTooManyRequests || resp.Header.Get("Retry-After") != "1.5" {
+		t.Errorf("%d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
+
+// The backstop: what the module leaves open is failed, not refused, while an
+// attempt is out, and its connection is closed first.
+func TestBackstop(t *testing.T) {
+	c := clock{time.Now()}
+	l := newLoop(c, nil, nil)
+	out := &attempt{id: 1, cancelled: false}
+	k := &call{cmd: make(chan command, 1), out: out}
+	k.ID = 1
+	l.calls[1] = k
+	l.finish(k, command{refuse: true})
+	if !out.cancelled || len(k.cmd) != 0 {
+		t.Fatalf("called back %v, answers %d", out.cancelled, len(k.cmd))
+	}
+	l.finish(k, command{}) // a second end changes nothing
+	k.out = nil
+	l.answer(k, *k.final)
+	if cmd := <-k.cmd; cmd.refuse || cmd.attempt != nil || len(l.calls) != 0 {
+		t.Errorf("%+v, %d open", cmd, len(l.calls))
+	}
+}
+
+// Anything may come from outside: it is answered 400 and harms nobody.
+func TestMalformedRequests(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.addr())
+	for _, c := range []struct{ class, header, value string }{
+		{"lookup", "X-Class", "shelve"}, {"lookup", "X-Class", ""},
+		{"lookup", "X-Tier", "gold"}, {"lookup", "X-Request-Id", ""},
+		{"lookup", "Cookie", "key=12"}, {"lookup", "Cookie", "key=zzzzzzzzzzzzzzzz"}, {"lookup", "Cookie", ""},
+		{"lookup", "X-Deadline-Ms", "soon"}, {"lookup", "X-Deadline-Ms", "-5"}, {"lookup", "X-Deadline-Ms", "99999999999999999999"},
+		{"lookup", "X-Call-Terms", "units=NaN"}, {"lookup", "X-Call-Terms", "units=-1"}, {"lookup", "X-Call-Terms", "units=1e300"},
+		{"lookup", "X-Call-Terms", "spread=0"}, {"lookup", "X-Call-Terms", "first=9"}, {"lookup", "X-Call-Terms", "=,="},
+		{"loan", "Idempotency-Key", ""},
+	} {
+		r := request(n.url, c.class, patience)
+		r.Header.Set(c.header, c.value)
+		if resp, _ := ask(t, r); resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s %q: %d", c.header, c.value, resp.StatusCode)
+		}
+	}
+	for _, text := range []string{"\r\n\r\n", "GET\r\n\r\n", "POST /loan HTTP/1.1\r\nContent-Length: x\r\n\r\n"} {
+		c := dial(t, n)
+		_, _ = c.Write([]byte(text))
+		c.Close()
+	}
+	if a.seen.Load() != 0 {
+		t.Errorf("%d of them were sent on", a.seen.Load())
+	}
+	if resp, _ := ask(t, request(n.url, "lookup", patience)); resp.StatusCode != 200 {
+		t.Errorf("a good one after them: %d", resp.StatusCode)
+	}
+}
+
+func dial(t *testing.T, n *running) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// send writes a request on a connection of the test's own.
+func send(t *testing.T, c net.Conn, r *http.Request) func() *http.Response {
+	t.Helper()
+	if err := r.Write(c); err != nil {
+		t.Fatal(err)
+	}
+	return func() *http.Response {
+		t.Helper()
+		resp, err := http.ReadResponse(bufio.NewReader(c), r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+}
+
+// A planned stop loses nothing: what is open is answered, and so is what comes
+// on old and new connections for a while after the signal. Each answer, also a
+// refusal, tells the client to go.
+func TestStopAnswersAll(t *testing.T) {
+	release := make(chan struct{})
+	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+		if r.Method == http.MethodPost {
+			<-release
+		}
+		return answer("200 OK", "", "hits")(c, r, b)
+	})
+	n := nodeWith(t, a.addr())
+	old, open, idle := dial(t, n), dial(t, n), dial(t, n)
+	send(t, old, request(n.url, "lookup", patience))()
+	send(t, idle, request(n.url, "lookup", patience))()
+	held := send(t, open, request(n.url, "loan", patience))
+	eventually(t, "the open request at the app server", func() bool { return a.seen.Load() == 3 })
+	n.stop()
+	eventually(t, "the stop", n.server.draining.Load)
+	fresh := dial(t, n)
+	refused := request(n.url, "lookup", patience)
+	refused.Header.Set("X-Tier", "tiny")
+	refused.Header.Set("Cookie", "key=0000000000000001") // the plan goes with the customer
+	for what, c := range map[string]struct {
+		conn net.Conn
+		r    *http.Request
+		want int
+	}{
+		"old connection": {old, request(n.url, "lookup", patience), 200},
+		"new connection": {fresh, refused, 429},
+	} {
+		if resp := send(t, c.conn, c.r)(); resp.StatusCode != c.want || !resp.Close {
+			t.Errorf("%s: %d, close %v", what, resp.StatusCode, resp.Close)
+		}
+	}
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("idle connection: %v", err)
+	}
+	select {
+	case <-n.done:
+		t.Error("stopped with a request open")
+	default:
+	}
+	close(release)
+	if resp := held(); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("open request: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	select {
+	case err := <-n.done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("did not stop once all was answered")
+	}
+}
+
+// Idle client connections are shut before the descriptors run out, oldest
+// first, and busy ones are not.
+func TestShutsIdleClients(t *testing.T) {
+	release := make(chan struct{})
+	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+		<-release
+		return answer("200 OK", "", "hits")(c, r, b)
+	})
+	n := nodeWith(t, a.addr())
+	http.DefaultClient.CloseIdleConnections()
+	eventually(t, "no connection", func() bool { open, _ := n.server.state(); return open == 0 })
+	n.server.mu.Lock()
+	n.server.most = 2
+	n.server.mu.Unlock()
+	busy := dial(t, n)
+	held := send(t, busy, request(n.url, "loan", patience))
+	eventually(t, "the open request at the app server", func() bool { return a.seen.Load() == 1 })
+	idle := dial(t, n)
+	eventually(t, "two connections", func() bool { open, _ := n.server.state(); return open == 2 })
+	dial(t, n)
+	if _, err := idle.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("idle connection over the bound: %v", err)
+	}
+	close(release)
+	if resp := held(); resp.StatusCode != 200 {
+		t.Errorf("busy connection: %d", resp.StatusCode)
+	}
+}
+
+// A request that crossed the closing of its idle connection is sent again by
+// the client: worked on here too it would have its effect twice.
+func TestCrossedRequestIsNotWorkedOn(t *testing.T) {
+	n := nodeWith(t, refusing(t))
+	c, other := net.Pipe()
+	defer other.Close()
+	n.server.connState(c, 0)
+	if !n.server.taken(c) {
+		t.Error("an open connection counts as shut")
+	}
+	n.server.shutIdle(0)
+	if n.server.taken(c) {
+		t.Error("a shut connection counts as open")
+	}
+}
+
+// Changes reach the module; while discovery fails the list held stays in
+// force, and the next call comes soon.
+func TestDiscovery(t *testing.T) {
+	a, b := newApp(t, answer("200 OK", "", "a")), newApp(t, answer("200 OK", "", "b"))
+	first, second := serving("s-00000001", a.addr()), serving("s-00000002", b.addr())
+	g := newRegistry(t, first)
+	n := start(t, testConfig(t, g.addr))
+	serves := func(want string) func() bool {
+		return func() bool {
+			resp, body := ask(t, request(n.url, "lookup", patience))
+			return resp.StatusCode == 200 && body == want
+		}
+	}
+	eventually(t, "an answer of the first server", serves("a"))
+	gone := first
+	gone.State = "DELETED"
+	g.set(false, gone, second)
+	eventually(t, "an answer of the second server", serves("b"))
+	g.set(true, gone, second)
+	calls := g.calls.Load()
+	eventually(t, "further calls while discovery fails", func() bool { return g.calls.Load() > calls+2 })
+	if !serves("b")() {
+		t.Error("the list held is not in force while discovery fails")
+	}
+	g.set(false, first, target{UID: "s-00000002", State: "DELETED"})
+	eventually(t, "the list after discovery is back", serves("a"))
+}
+
+// While discovery is silent at the start, the known list has to do.
+func TestKnownListHasToDo(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	cfg := testConfig(t, refusing(t))
+	cfg.Known = &serverList{Rev: 4, All: true, Targets: []target{serving("s-00000001", a.addr())}}
+	n := start(t, cfg)
+	if resp, _ := ask(t, request(n.url, "lookup", patience)); resp.StatusCode != 200 {
+		t.Errorf("%d", resp.StatusCode)
+	}
+}
+
+// Names in messages between edge nodes must come out alike at all of them.
+func TestServerID(t *testing.T) {
+	if id := serverID("s-5be2a07c"); id != 0x5be2a07c {
+		t.Errorf("%x", id)
+	}
+	if a, b := serverID("loan-7"), serverID("loan-8"); a == b || a != serverID("loan-7") {
+		t.Errorf("%x %x", a, b)
+	}
+}
+
+// Start times in the list and the module's clock count from the same moment.
+func TestClock(t *testing.T) {
+	c := clock{time.Now()}
+	now := c.now()
+	if d := time.Since(time.Unix(0, int64(now))); d < -time.Minute || d > time.Minute {
+		t.Errorf("off Unix time by %v", d)
+	}
+	if back := c.time(now).Sub(c.anchor); back != now-time.Duration(c.anchor.UnixNano()) {
+		t.Errorf("%v", back)
+	}
+	booted := target{UID: "x", State: "SERVING", BootMS: float64(c.anchor.UnixMilli())}
+	if s := booted.server(); !s.HasStart || now-s.Start < 0 || now-s.Start > time.Minute {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Only known edge nodes are heard, and only whole messages.
+func TestPeers(t *testing.T) {
+	type msg struct {
+		from int
+		text string
+	}
+	heard := make(chan msg, 10)
+	sock := func() *net.UDPConn {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	peer, stranger := sock(), sock()
+	to := peer.LocalAddr().(*net.UDPAddr).AddrPort()
+	p, err := listenPeers("127.0.0.1:0", []netip.AddrPort{to}, netip.AddrPort{}, func(from int, data []byte) {
+		heard <- msg{from, string(data)}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	defer close(done)
+	defer p.conn.Close()
+	go p.receive()
+	go p.send(done)
+	me := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	for _, d := range []struct {
+		c    *net.UDPConn
+		text string
+	}{{stranger, "hello"}, {peer, strings.Repeat("x", mostDatagram+1)}, {peer, strings.Repeat("y", mostDatagram)}} {
+		if _, err := d.c.WriteToUDPAddrPort([]byte(d.text), me); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if m := <-heard; m.from != 0 || m.text != strings.Repeat("y", mostDatagram) {
+		t.Errorf("heard %d bytes of %d", len(m.text), m.from)
+	}
+	p.tell(0, make([]byte, mostDatagram+1)) // voids a run: must not go out
+	p.tell(5, []byte("nobody"))
+	p.tell(-1, []byte("all"))
+	_ = peer.SetReadDeadline(time.Now().Add(patience))
+	buf := make([]byte, 1000)
+	if n, err := peer.Read(buf); err != nil || string(buf[:n]) != "all" {
+		t.Errorf("%q %v", buf[:n], err)
+	}
+}
+
+// Garbage from a peer reaches the module and is passed over there.
+func TestGarbageFromPeers(t *testing.T) {
+	n := nodeWith(t, refusing(t))
+	for _, data := range []string{"", "\x04", "\x03\x00", strings.Repeat("\xff", 256), "\x04" + strings.Repeat("\xff", 255)} {
+		n.loop.events <- policy.PeerMessage{From: 0, Data: []byte(data)}
+		n.loop.events <- policy.PeerMessage{From: 99, Data: []byte(data)}
+	}
+	if resp, _ := ask(t, request(n.url, "lookup", patience)); resp.StatusCode == 0 {
+		t.Error("no answer")
+	}
+}
+
+// Errors of the configuration name the bad setting.
+func TestConfigErrors(t *testing.T) {
+	good := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","peer_listen":"127.0.0.1:0","peers":["127.0.0.1:5"],
+		"limits":{"sockets":1024},"settings":%s}`, strings.Replace(testSettings, `"cancel"`, `"peers":true,"cancel"`, 1))
+	none := func(string) string { return "" }
+	if _, err := parseConfig([]byte(good), none); err != nil {
+		t.Fatal(err)
+	}
+	for want, change := range map[string][2]string{
+		"listen":                 {`"listen":"127.0.0.1:0"`, `"listen":"here"`},
+		"discovery":              {`"127.0.0.1:1"`, `""`},
+		"peers[0]":               {`"127.0.0.1:5"`, `"five"`},
+		"peers: 0 addresses":     {`["127.0.0.1:5"]`, `[]`},
+		"peer_listen":            {`"peer_listen":"127.0.0.1:0"`, `"peer_listen":"x"`},
+		"limits.sockets":         {`"sockets":1024`, `"sockets":3`},
+		"classes.0.semantics":    {`"repeatable"`, `"often"`},
+		"classes.0.aim_ms":       {`"aim_ms":400.0`, `"aim_ms":"long"`},
+		"caps.dial_timeout_ms":   {`"dial_timeout_ms":250.0`, `"dial_timeout_ms":-1`},
+		"settings":               {`"settings":{`, `"settings":{},"x":{`},
+		"unexpected end of JSON": {`]}}`, ``},
+	} {
+		bad := strings.Replace(good, change[0], change[1], 1)
+		if bad == good {
+			t.Fatalf("%s: nothing changed", want)
+		}
+		if _, err := parseConfig([]byte(bad), none); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+	if _, err := LoadConfig(none); err == nil || !strings.Contains(err.Error(), "GW_CONFIG") {
+		t.Errorf("%v, want GW_CONFIG", err)
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -127,6 +127,13 @@
 	return len(s.conns), s.clock.now() - s.active
 }
 
+// crowded tells whether more connections are open than are kept.
+func (s *server) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) > s.most
+}
+
 // taken tells whether the request's connection is still open on this side. One
 // that was closed as idle while the request crossed is sent again by the
 // client, so it must not be worked on here.
@@ -138,9 +145,12 @@
 }
 
 func (s *server) handle(ctx *fasthttp.RequestCtx) {
-	if s.draining.Load() {
-		ctx.SetConnectionClose()
-	}
+	// At the end, since an error answer starts from an empty one.
+	defer func() {
+		if s.draining.Load() || s.crowded() {
+			ctx.SetConnectionClose()
+		}
+	}()
 	if string(ctx.Path()) == "/healthz" {
 		if !s.ready.Load() || s.draining.Load() {
 			ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
@@ -148,7 +158,7 @@
 		return
 	}
 	if !s.taken(ctx.Conn()) {
-		ctx.SetConnectionClose()
+		ctx.Error("closed", fasthttp.StatusServiceUnavailable)
 		return
 	}
 	c, err := s.parse(&ctx.Request)
@@ -195,16 +205,15 @@
 		return nil, errors.New("X-Request-Id: missing or too long")
 	}
 	c.Class = wire.Word(string(h.Peek("X-Class")))
-	class := -1
 	for i := range s.settings.Classes {
 		if s.settings.Classes[i].Name == c.Class {
-			class = i
+			c.class = &s.settings.Classes[i]
 		}
 	}
-	if class < 0 {
+	if c.class == nil {
 		return nil, fmt.Errorf("X-Class: unknown class %q", c.Class)
 	}
-	if s.settings.Classes[class].Effect == policy.Keyed && len(h.Peek("Idempotency-Key")) == 0 {
+	if c.class.Effect == policy.Keyed && len(h.Peek("Idempotency-Key")) == 0 {
 		return nil, errors.New("Idempotency-Key: missing")
 	}
 	c.Plan = wire.Word(string(h.Peek("X-Tier")))
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -21,6 +21,7 @@
 const (
 	mostAnswer  = 1 << 20 // bytes of an answer's body; the protocol allows 64 KiB
 	idlePart    = 0.6     // of the time after which app servers close idle connections
+	identity    = -2      // fasthttp's content length where none is told
 	graceMargin = 50 * time.Millisecond
 )
 
@@ -54,6 +55,13 @@
 	net.Conn
 	br   *bufio.Reader
 	used time.Duration
+	err  error // of the last read: the parser's own errors don't tell a time-out
+}
+
+func (c *upConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.err = err
+	return n, err
 }
 
 // attempt is one sending of a request to an app server.
@@ -63,6 +71,7 @@
 	server   policy.ServerID
 	sent     time.Duration // when the module asked for it
 	deadline time.Duration // when it is given up
+	writeBy  time.Duration // written later it might run twice: its repeat would not be known as one
 
 	mu        sync.Mutex
 	cancelled bool
@@ -273,16 +282,17 @@
 			u.discard(nil)
 			return result{code: policy.ConnectFailed}
 		}
-		c = &upConn{Conn: conn, br: bufio.NewReaderSize(conn, 4096)}
+		c = &upConn{Conn: conn}
+		c.br = bufio.NewReaderSize(c, 4096)
 	}
 	now := u.clock.now()
 	switch {
-	case !a.hold(c) || u.closed(a.server):
-		u.discard(c)
-		return result{code: policy.ConnectFailed}
 	case now >= a.deadline:
 		u.discard(c)
 		return result{code: policy.Moot}
+	case !a.hold(c) || now >= a.writeBy || u.closed(a.server):
+		u.discard(c)
+		return result{code: policy.ConnectFailed}
 	}
 	r, reuse := u.exchange(a, c, req, resp, a.deadline-now)
 	if !a.hold(nil) { // cancelled: its connection is closed already
@@ -329,11 +339,12 @@
 	if !whole {
 		return result{code: policy.ConnectFailed}, false
 	}
+	framed := false
 	if err == nil {
-		err = resp.ReadLimitBody(c.br, mostAnswer)
+		framed, err = readAnswer(c.br, resp)
 	}
 	if err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(c.err, os.ErrDeadlineExceeded) {
 			return result{code: policy.TimedOut}, false
 		}
 		return result{code: policy.Reset}, false
@@ -341,7 +352,7 @@
 	r := result{code: policy.Error, load: u.load(resp.Header.Peek("X-Load"))}
 	status := resp.StatusCode()
 	switch {
-	case status == fasthttp.StatusOK && resp.Header.ContentLength() == -2:
+	case status == fasthttp.StatusOK && !framed:
 		r.code = policy.Reset // its end can't be told from a break
 	case status == fasthttp.StatusOK:
 		r.code = policy.OK
@@ -349,7 +360,28 @@
 		string(resp.Header.Peek("X-Not-Run")) == "1":
 		r.code = policy.Full
 	}
-	return r, !resp.ConnectionClose() && c.br.Buffered() == 0
+	return r, framed && !resp.ConnectionClose() && c.br.Buffered() == 0
+}
+
+// readAnswer reads an answer. One that only the end of the connection would
+// end is not framed, and its body is left unread.
+func readAnswer(br *bufio.Reader, resp *fasthttp.Response) (framed bool, err error) {
+	for {
+		if err := resp.Header.Read(br); err != nil {
+			return false, err
+		}
+		if s := resp.StatusCode(); s >= fasthttp.StatusOK || s == fasthttp.StatusSwitchingProtocols {
+			break // others only announce the answer
+		}
+	}
+	length := resp.Header.ContentLength()
+	if length == identity {
+		return false, nil
+	}
+	if err := resp.ReadBody(br, mostAnswer); err != nil || length >= 0 {
+		return true, err
+	}
+	return true, resp.Header.ReadTrailer(br)
 }
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
--- /dev/null
+++ b/internal/node/upstream_test.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"reflect"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"yardcleat.example/yardcleat/policy"
+)
+
+// pool makes an upstream that knows one app server, number 1.
+func pool(addr string) *upstream {
+	u := &upstream{clock: clock{time.Now()}, dial: net.Dialer{Timeout: patience}, idleFor: time.Minute, most: 10,
+		grace: 250 * time.Millisecond, fields: []string{"cpu", "rps"}, servers: map[policy.ServerID]*appServer{}}
+	u.update(&serverList{Targets: []target{serving("s-00000001", addr)}}, true)
+	return u
+}
+
+func (u *upstream) try(deadline time.Duration) (*attempt, func() (result, string)) {
+	now := u.clock.now()
+	a := &attempt{id: 7, server: 1, sent: now, deadline: now + deadline, writeBy: now + deadline}
+	return a, func() (result, string) {
+		var req fasthttp.Request
+		var resp fasthttp.Response
+		req.SetRequestURI("http://app.svc/lookup?q=1")
+		req.Header.Set("X-Request-Id", "9b1f03aa5c7e2d41")
+		r := u.do(a, &req, &resp)
+		return r, string(resp.Body())
+	}
+}
+
+// What comes back decides whether a request may be sent or refused again: a
+// code that wrongly proves 'never ran' would let an effect happen twice.
+func TestOutcomes(t *testing.T) {
+	raw := func(text string) func(net.Conn, *http.Request, string) bool {
+		return func(c net.Conn, _ *http.Request, _ string) bool {
+			_, _ = c.Write([]byte(text))
+			return false
+		}
+	}
+	for name, c := range map[string]struct {
+		do   func(net.Conn, *http.Request, string) bool
+		want policy.Code
+		kept bool // the connection can be used again
+	}{
+		"served":            {answer("200 OK", "", "hits"), policy.OK, true},
+		"served, then over": {answer("200 OK", "Connection: close\r\n", "hits"), policy.OK, false},
+		"served in chunks": {func(c net.Conn, _ *http.Request, _ string) bool {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n0\r\n\r\n"))
+			return true
+		}, policy.OK, true},
+		"error":            {answer("500 No", "", ""), policy.Error, true},
+		"turned away":      {answer("503 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
+		"over already":     {answer("504 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
+		"503 may have run": {answer("503 No", "", ""), policy.Error, true},
+		"504 may have run": {answer("504 No", "X-Not-Run: 0\r\n", ""), policy.Error, true},
+		"another 2xx":      {answer("202 Later", "", ""), policy.Error, true},
+		"break":            {raw(""), policy.Reset, false},
+		"break in headers": {raw("HTTP/1.1 200 OK\r\nContent-Le"), policy.Reset, false},
+		"break in body":    {raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhits"), policy.Reset, false},
+		"break in chunks":  {raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n"), policy.Reset, false},
+		"no end told":      {raw("HTTP/1.1 200 OK\r\n\r\nhits"), policy.Reset, false},
+		"not HTTP":         {raw("hello\r\n\r\n"), policy.Reset, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newApp(t, c.do)
+			u := pool(a.addr())
+			_, do := u.try(patience)
+			r, body := do()
+			if r.code != c.want || r.code == policy.OK && body != "hits" {
+				t.Errorf("code %d, body %q, want code %d", r.code, body, c.want)
+			}
+			if kept := len(u.servers[1].idle) == 1; kept != c.kept || u.open != len(u.servers[1].idle) {
+				t.Errorf("connection kept %v, want %v; %d counted as open", kept, c.kept, u.open)
+			}
+			if n := a.seen.Load(); n != 1 {
+				t.Errorf("written %d times", n)
+			}
+		})
+	}
+}
+
+// A refused connection proves that nothing ran.
+func TestRefusedConnectionNeverRan(t *testing.T) {
+	u := pool(refusing(t))
+	_, do := u.try(patience)
+	if r, _ := do(); r.code != policy.ConnectFailed || u.open != 0 {
+		t.Errorf("code %d, %d open", r.code, u.open)
+	}
+}
+
+// A request that was written and not answered may run yet; its connection must
+// be closed before the module hears of it, or two attempts would be out.
+func TestTimeoutClosesFirst(t *testing.T) {
+	a := newApp(t, deaf)
+	u := pool(a.addr())
+	_, do := u.try(50 * time.Millisecond)
+	r, _ := do()
+	if r.code != policy.TimedOut || u.open != 0 {
+		t.Errorf("code %d, %d open", r.code, u.open)
+	}
+	eventually(t, "the end of the connection", func() bool { return a.ended.Load() == 1 })
+}
+
+// The same for an attempt that the module calls back.
+func TestCancelClosesFirst(t *testing.T) {
+	a := newApp(t, deaf)
+	u := pool(a.addr())
+	at, do := u.try(time.Hour)
+	go func() {
+		for a.seen.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		at.cancel()
+	}()
+	r, _ := do()
+	if r.code != policy.Cancelled || u.open != 0 {
+		t.Errorf("code %d, %d open", r.code, u.open)
+	}
+	eventually(t, "the end of the connection", func() bool { return a.ended.Load() == 1 })
+}
+
+// What is called back before it is written never ran.
+func TestCancelBeforeWriting(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", ""))
+	u := pool(a.addr())
+	at, do := u.try(time.Hour)
+	at.cancel()
+	if r, _ := do(); !r.code.NeverRan() || a.seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.code, a.seen.Load())
+	}
+}
+
+// An app server closes idle connections; a request written to one would end as
+// a reset, which costs a keyed request its further attempts.
+func TestNoticesCloseWhileIdle(t *testing.T) {
+	var answers atomic.Int32
+	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+		answer("200 OK", "", "hits")(c, r, b)
+		return answers.Add(1) > 1
+	})
+	u := pool(a.addr())
+	_, do := u.try(patience)
+	do()
+	eventually(t, "the server's close on the idle connection", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return len(u.servers[1].idle) == 1 && !alive(u.servers[1].idle[0])
+	})
+	_, do = u.try(patience)
+	if r, _ := do(); r.code != policy.OK || a.conns.Load() != 2 {
+		t.Errorf("code %d, %d connections", r.code, a.conns.Load())
+	}
+}
+
+// Connections are used again, newest first, and closed before the server does.
+func TestPoolReusesAndExpires(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	u := pool(a.addr())
+	for range 3 {
+		_, do := u.try(patience)
+		do()
+	}
+	if a.conns.Load() != 1 {
+		t.Errorf("%d connections for requests one after another", a.conns.Load())
+	}
+	u.idleFor = 0
+	u.sweep()
+	if u.open != 0 || len(u.servers[1].idle) != 0 {
+		t.Errorf("%d open after their time", u.open)
+	}
+}
+
+// New work to a server that drains is over when the grace is: a send decided
+// before, but delayed by its dial, must not be written after.
+func TestDrainedServerGetsNothing(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	u := pool(a.addr())
+	drains := serving("s-00000001", a.addr())
+	drains.State = "DRAINING"
+	u.update(&serverList{Targets: []target{drains}}, false)
+	if u.closed(1) {
+		t.Error("closed before the grace is over")
+	}
+	u.servers[1].since -= u.grace
+	_, do := u.try(patience)
+	if r, _ := do(); r.code != policy.ConnectFailed || a.seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.code, a.seen.Load())
+	}
+}
+
+// A server that is gone keeps no connections; its successor at another address
+// or with a new start gets none of the old ones.
+func TestConnectionsGoWithTheServer(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	for name, l := range map[string]*serverList{
+		"gone":      {Targets: nil},
+		"restarted": {Targets: []target{{UID: "s-00000001", Endpoint: a.addr(), State: "SERVING", BootMS: 5}}},
+		"moved":     {Targets: []target{serving("s-00000001", "127.0.0.1:1")}},
+	} {
+		u := pool(a.addr())
+		_, do := u.try(patience)
+		do()
+		if u.open != 1 {
+			t.Fatalf("%s: %d open before", name, u.open)
+		}
+		u.update(l, true)
+		if u.open != 0 {
+			t.Errorf("%s: %d open after", name, u.open)
+		}
+	}
+}
+
+// A keyed repeat that is written after the servers have forgotten the first
+// would run twice; a dial can take that long.
+func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	u := pool(a.addr())
+	at, do := u.try(patience)
+	at.writeBy = at.sent
+	if r, _ := do(); r.code != policy.ConnectFailed || a.seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.code, a.seen.Load())
+	}
+}
+
+// The descriptors are bounded: idle connections to others make room first.
+func TestConnectionBound(t *testing.T) {
+	a, b := newApp(t, answer("200 OK", "", "hits")), newApp(t, deaf)
+	u := pool(a.addr())
+	u.most = 1
+	u.update(&serverList{Targets: []target{serving("s-00000002", b.addr())}}, false)
+	_, do := u.try(patience)
+	do()
+	at, do := u.try(time.Hour)
+	at.server = 2
+	done := make(chan result)
+	go func() { r, _ := do(); done <- r }()
+	eventually(t, "the request at the second server", func() bool { return b.seen.Load() == 1 })
+	_, do = u.try(patience)
+	if r, _ := do(); r.code != policy.ConnectFailed {
+		t.Errorf("code %d over the bound", r.code)
+	}
+	at.cancel()
+	<-done
+}
+
+// The module gets a report's values in the order of its settings, whichever of
+// the two spellings comes; half a report is none.
+func TestLoadReport(t *testing.T) {
+	u := pool("127.0.0.1:1")
+	for text, want := range map[string][]float64{
+		"TEXT util=0.61, qps=140":           {0.61, 140},
+		"TEXT rps=140,inflight=3,cpu=0.61":  {0.61, 140},
+		"TEXT util=0.61":                    nil,
+		"TEXT util=much, qps=1":             nil,
+		"":                                  nil,
+		"TEXT":                              nil,
+		fmt.Sprintf("TEXT %0300d=,,,=,", 1): nil,
+	} {
+		if got := u.load([]byte(text)); !reflect.DeepEqual(got, want) {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
