Let go of clients that have gone; gather the module's decisions in two files

Cause: fasthttp does not show a client's close while its handler waits, so a request of a client that had gone could get further attempts and held its place until the deadline. The loop now peeks at the sockets of open requests every 50 ms (loop.go, look), without taking the read lock that the server's own reader may hold.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"log/slog"
+	"net"
 	"time"
 
 	"yardcleat.example/yardcleat/policy"
@@ -25,7 +26,8 @@
 	// answerMargin is how long before a client's deadline its answer is decided:
 	// the request and the answer each have a way to go.
 	answerMargin = 10 * time.Millisecond
-	backstop     = 3 * time.Millisecond // and then what the module left open is failed
+	backstop     = 3 * time.Millisecond  // and then what the module left open is failed
+	lookEvery    = 50 * time.Millisecond // for clients that have gone away
 )
 
 // call is an open request of a client. Its connection's goroutine waits for
@@ -33,6 +35,7 @@
 type call struct {
 	policy.Request
 	class   *policy.Class
+	conn    net.Conn // the client's
 	arrived time.Duration
 	budget  time.Duration // how long the client waits
 	cmd     chan command  // room for one: the next is given once the last is done
@@ -91,6 +94,7 @@
 // run handles events until done is closed.
 func (l *loop) run(done <-chan struct{}) {
 	defer l.timer.Stop()
+	l.look()
 	for {
 		l.arm()
 		select {
@@ -117,9 +121,12 @@
 func (l *loop) fire() {
 	for len(l.timers) > 0 && l.timers[0].at <= l.clock.now() {
 		t := heap.Pop(&l.timers).(timer)
-		if t.call != nil {
+		switch {
+		case t.call != nil:
 			l.overdue(t.call)
-		} else {
+		case t.look:
+			l.look()
+		default:
 			l.decide(policy.Timer{Token: t.token})
 		}
 	}
@@ -176,6 +183,25 @@
 	l.decide(policy.Gone{ID: c.ID})
 }
 
+// look finds the clients that have closed their connections. Nothing more is
+// sent for them; an attempt that is out runs on, since the app server would
+// not stop either.
+func (l *loop) look() {
+	for id, c := range l.calls {
+		if c.conn == nil || peek(c.conn) != peekEnd {
+			continue
+		}
+		if c.out == nil {
+			l.answer(c, command{})
+		} else {
+			delete(l.calls, id)
+			c.final = &command{}
+		}
+		l.decide(policy.Gone{ID: id})
+	}
+	heap.Push(&l.timers, timer{at: l.clock.now() + lookEvery, look: true})
+}
+
 // finish gives a request its final answer, after calling back an attempt that
 // is still out.
 func (l *loop) finish(c *call, cmd command) {
@@ -281,6 +307,7 @@
 	at    time.Duration
 	token string
 	call  *call
+	look  bool // for clients that have gone
 }
 
 type timerHeap []timer
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -107,6 +107,49 @@
 	}
 }
 
+// A client that closes its connection has gone away: nothing more may be sent
+// for it, and what is held for it is let go.
+func TestClientGone(t *testing.T) {
+	cfg := testConfig(t, "127.0.0.1:1")
+	g, err := policy.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	l := newLoop(clock{time.Now()}, g, pool(refusing(t)))
+	held, out := &call{conn: conn, cmd: make(chan command, 1)}, &call{conn: conn, cmd: make(chan command, 1)}
+	held.ID, out.ID, out.out = 1, 2, &attempt{id: 2}
+	held.due, out.due = l.clock.now()+time.Hour, l.clock.now()+time.Hour
+	l.calls[1], l.calls[2] = held, out
+	l.look()
+	if len(l.calls) != 2 {
+		t.Fatalf("%d open while the client is there", len(l.calls))
+	}
+	client.Close()
+	eventually(t, "notice of the close", func() bool { l.look(); return len(l.calls) == 0 })
+	if len(held.cmd) != 1 || len(out.cmd) != 0 || out.out.cancelled {
+		t.Errorf("held let go %d, out told %d, called back %v", len(held.cmd), len(out.cmd), out.out.cancelled)
+	}
+	l.send(policy.Send{ID: 2, Server: 1})
+	l.end(outcome{out, out.out, result{code: policy.Error}})
+	if cmd := <-out.cmd; cmd.attempt != nil || len(out.cmd) != 0 {
+		t.Errorf("after the attempt: %+v", cmd)
+	}
+}
+
 // Anything may come from outside: it is answered 400 and harms nobody.
 func TestMalformedRequests(t *testing.T) {
 	a := newApp(t, answer("200 OK", "", "hits"))
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -166,6 +166,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	c.conn = ctx.Conn()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	s.events <- c
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -245,22 +245,44 @@
 // alive tells whether nothing has come on an idle connection: neither its end
 // nor bytes that nobody asked for.
 func alive(c *upConn) bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.br.Buffered() > 0 {
-		return false
+	return c.br.Buffered() == 0 && peek(c.Conn) == peekQuiet
+}
+
+// What stands in a connection's receive buffer.
+type peeked int
+
+const (
+	peekQuiet peeked = iota // nothing
+	peekBytes
+	peekEnd // it is closed or broken
+)
+
+// peek looks without reading and without waiting, neither for bytes nor for a
+// goroutine that reads.
+func peek(c net.Conn) peeked {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return peekEnd
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return peekEnd
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	found := peekEnd
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK
-		return true
+		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case e == syscall.EAGAIN || e == syscall.EWOULDBLOCK || e == syscall.EINTR:
+			found = peekQuiet
+		case e == nil && n > 0:
+			found = peekBytes
+		}
 	})
-	return err == nil && quiet
+	if err != nil {
+		return peekEnd
+	}
+	return found
 }
 
 // result is how an attempt ended.
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -1,9 +1,10 @@
 package policy
 
-// How events reach the decisions of policy.go, and the lists they work on.
+// How events reach the decisions of policy.go, and what is told to peers.
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -177,3 +178,126 @@
 	g.reqs[r.id], c.seen = r, g.now
 	return r
 }
+
+// What is told to peers, to whom, and what is made of what they tell.
+
+// message makes the report for one peer: the servers this gateway has attempts
+// out at, then the customers that come in through both, busiest first.
+func (g *Gateway) message(p *peer, list []*customer) *report {
+	m := &report{inc: g.inc, seq: g.seq, complete: true}
+	for _, s := range g.fleet {
+		if s.out > 0 && len(m.servers) < maxServers && !g.tree {
+			m.servers = append(m.servers, serverOut{s.hash, byte(min(s.out, maxOut))})
+		}
+	}
+	for _, c := range list {
+		i := slices.IndexFunc(c.set, func(v *peerView) bool { return v.p == p })
+		if i < 0 {
+			continue
+		}
+		if !m.fits() {
+			m.complete = false
+			break
+		}
+		g.advance(c)
+		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
+			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
+			passed: c.passed, store: unknownStore,
+			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
+		if c.known && c.plan.Burst > 0 {
+			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
+		}
+		m.customers = append(m.customers, e)
+		c.told = g.ticks
+	}
+	return m
+}
+
+func (g *Gateway) onReport(p *peer, m report) {
+	if p == nil {
+		return
+	}
+	if p.heard && p.inc == m.inc && int32(m.seq-p.seq) <= 0 {
+		return // old or repeated: the later report holds all it said
+	}
+	if m.complete || p.inc != m.inc {
+		for _, v := range p.views {
+			v.out, v.held = 0, 0
+		}
+	}
+	p.heard, p.inc, p.seq, p.at, p.complete = true, m.inc, m.seq, g.now, m.complete
+	p.outs = map[uint16]float64{}
+	for _, o := range m.servers {
+		p.outs[o.hash] = float64(o.out)
+	}
+	g.sumLoads()
+	for _, e := range m.customers {
+		if c := g.byHash[e.hash]; c != nil {
+			g.hear(c, p, e)
+		}
+	}
+}
+
+// report tells each peer what has changed.
+func (g *Gateway) report() {
+	g.seq++
+	var list []*customer
+	for _, c := range g.ring {
+		if c.news() {
+			c.urgency = g.urgent(c)
+			list = append(list, c)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *customer) int { return cmp.Compare(b.urgency, a.urgency) })
+	for _, p := range g.peers {
+		if p == nil || p.num == g.set.Me || g.tree && len(list) == 0 {
+			continue
+		}
+		if m := g.message(p, list); !g.tree || len(m.customers) > 0 {
+			g.do(Tell{To: p.num, Data: m.encode()})
+		}
+	}
+	for _, c := range list {
+		if c.told == g.ticks {
+			c.fresh, c.toldUnits = max(0, c.fresh-1), c.passed
+		}
+	}
+}
+
+func (g *Gateway) sight(s *server, cl *class, code Code, latency time.Duration) {
+	if cl.Name == "" {
+		return // not in the settings
+	}
+	for i, w := range s.watchers {
+		if i > 0 && (code != ConnectFailed || !g.tree) {
+			break
+		}
+		if w == g.set.Me {
+			g.gather(s, cl.no, code, latency)
+			continue
+		}
+		ms := uint16(min(max(0, latency.Milliseconds()), math.MaxUint16))
+		g.do(Tell{To: w, Data: encode(sight{uint32(s.ID), byte(cl.no), byte(code), ms})})
+	}
+}
+
+func (g *Gateway) onVerdict(m verdict) {
+	s := g.servers[ServerID(m.Server)]
+	if s == nil {
+		return
+	}
+	for i := range s.by {
+		s.by[i].bad, s.by[i].until = m.Bad>>i&1 == 1, g.now+verdictLife
+	}
+	s.slow = math.Exp2(float64(m.Pace)/16 - 4)
+}
+
+// watchers names the gateways that judge a server: in a small fleet each
+// judges for itself.
+func (g *Gateway) watchers(h uint32) [2]int {
+	if !g.tree {
+		return [2]int{g.set.Me, g.set.Me}
+	}
+	n := uint32(g.set.Gateways)
+	return [2]int{int(h % n), int((h + 1) % n)}
+}
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -134,34 +134,6 @@
 	return &s.by[cl.no]
 }
 
-func (g *Gateway) sight(s *server, cl *class, code Code, latency time.Duration) {
-	if cl.Name == "" {
-		return // not in the settings
-	}
-	for i, w := range s.watchers {
-		if i > 0 && (code != ConnectFailed || !g.tree) {
-			break
-		}
-		if w == g.set.Me {
-			g.gather(s, cl.no, code, latency)
-			continue
-		}
-		ms := uint16(min(max(0, latency.Milliseconds()), math.MaxUint16))
-		g.do(Tell{To: w, Data: encode(sight{uint32(s.ID), byte(cl.no), byte(code), ms})})
-	}
-}
-
-func (g *Gateway) onVerdict(m verdict) {
-	s := g.servers[ServerID(m.Server)]
-	if s == nil {
-		return
-	}
-	for i := range s.by {
-		s.by[i].bad, s.by[i].until = m.Bad>>i&1 == 1, g.now+verdictLife
-	}
-	s.slow = math.Exp2(float64(m.Pace)/16 - 4)
-}
-
 // askOf makes the message that asks for a request.
 func (g *Gateway) askOf(r *request) ask {
 	c, left := r.c, (r.deadline - g.now).Milliseconds()
@@ -196,13 +168,3 @@
 	}
 	return told, bad, until
 }
-
-// watchers names the gateways that judge a server: in a small fleet each
-// judges for itself.
-func (g *Gateway) watchers(h uint32) [2]int {
-	if !g.tree {
-		return [2]int{g.set.Me, g.set.Me}
-	}
-	n := uint32(g.set.Gateways)
-	return [2]int{int(h % n), int((h + 1) % n)}
-}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // Package policy decides for a gateway that keeps customers' quotas on a
 // shared API. Its interface (settings, events, actions) is in api.go; every
-// decision, table and tuned value is in this file.
+// decision, table and tuned value is in this file and in gateway.go.
 //
 // The mechanism is a distributed waiting room. Requests beyond a customer's
 // cap on attempts out wait in arrival order; gateways report to each other
