--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -79,6 +79,7 @@
 const (
 	watchWait        = 3 * time.Second // a watch is answered by then, with or without news
 	watchSlack       = time.Second
+	watchPause       = 50 * time.Millisecond // a watch goes on if the next call comes within 200 ms
 	leastBackoff     = 25 * time.Millisecond
 	mostBackoff      = 400 * time.Millisecond
 	mostListBytes    = 4 << 20
@@ -103,6 +104,7 @@
 			query = fmt.Sprintf("?since=%d&timeout_ms=%d", rev, watchWait.Milliseconds())
 			limit = watchWait + watchSlack
 		}
+		began := time.Now()
 		l, err := d.get("http://"+d.addr+"/v1/servers"+query, limit)
 		if err != nil {
 			if !down {
@@ -121,6 +123,9 @@
 			slog.Info("discovery answers again", "rev", l.Rev)
 		}
 		down, backoff = false, leastBackoff
+		if have && l.Rev == rev && time.Since(began) < watchPause {
+			time.Sleep(watchPause) // it does not wait as it should: don't ask without pause
+		}
 		rev = l.Rev
 		switch {
 		case l.All || !have:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	stopShutIdle = 250 * time.Millisecond // idle connections are closed while new ones still find an open door
 	stopAccept   = 550 * time.Millisecond
 	stopQuiet    = 100 * time.Millisecond
+	stopReading  = 2 * time.Second // a request that has begun to come by then is given so long
 	stopMost     = 65 * time.Second
 	stopPoll     = 10 * time.Millisecond
 )
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -302,13 +304,61 @@
 	n := nodeWith(t, refusing(t))
 	c, other := net.Pipe()
 	defer other.Close()
-	n.server.connState(c, 0)
-	if !n.server.taken(c) {
+	n.server.connState(c, fasthttp.StateNew)
+	n.server.shutIdle(0)
+	if n.server.take(c) {
+		t.Error("a shut connection counts as open")
+	}
+	n.server.connState(c, fasthttp.StateNew)
+	if !n.server.take(c) {
 		t.Error("an open connection counts as shut")
 	}
 	n.server.shutIdle(0)
-	if n.server.taken(c) {
-		t.Error("a shut connection counts as open")
+	n.server.mu.Lock()
+	defer n.server.mu.Unlock()
+	if n.server.conns[c].shut {
+		t.Error("a busy connection was shut")
+	}
+}
+
+// Clients that never finish their requests must not use up the descriptors:
+// others still get in, and busy connections stay.
+func TestSlowRequestsMakeRoom(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.addr())
+	http.DefaultClient.CloseIdleConnections()
+	n.server.mu.Lock()
+	n.server.most = 4
+	n.server.mu.Unlock()
+	first := dial(t, n)
+	if _, err := first.Write([]byte("GET /lookup HTTP/1.1\r\nHost: a")); err != nil {
+		t.Fatal(err)
+	}
+	for range 12 {
+		_, _ = dial(t, n).Write([]byte("GET /lookup HTTP/1.1\r\nHost: a")) // may be closed already
+	}
+	c := dial(t, n)
+	if resp := send(t, c, request(n.url, "lookup", patience))(); resp.StatusCode != 200 {
+		t.Errorf("%d", resp.StatusCode)
+	}
+	// At its read time-out it would get an answer that says so.
+	if got, _ := first.Read(make([]byte, 1)); got != 0 {
+		t.Error("the slowest was not shut before its time-out")
+	}
+}
+
+// Large messages pass unchanged, up to what the protocol allows.
+func TestLargeMessages(t *testing.T) {
+	a := newApp(t, func(c net.Conn, r *http.Request, body string) bool {
+		return answer("200 OK", "", body)(c, r, body)
+	})
+	n := nodeWith(t, a.addr())
+	want := strings.Repeat("0123456789abcdef", mostBody/16)
+	r := request(n.url, "loan", patience)
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(want)), mostBody
+	r.Header.Set("X-Padding", strings.Repeat("p", 8<<10))
+	if resp, body := ask(t, r); resp.StatusCode != 200 || body != want {
+		t.Errorf("%d, %d bytes", resp.StatusCode, len(body))
 	}
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -19,7 +19,8 @@
 const (
 	mostBody      = 64 << 10
 	mostDeadline  = time.Hour
-	readTimeout   = 10 * time.Second
+	mostHeader    = 16 << 10
+	readTimeout   = 5 * time.Second // for a whole request; the longest deadline is less
 	writeTimeout  = 10 * time.Second
 	clientIdle    = 2 * time.Minute
 	customerDigit = 16
@@ -39,23 +40,32 @@
 	mu     sync.Mutex
 	most   int // connections kept open at once
 	conns  map[net.Conn]*clientConn
+	shut   int           // of them, closed here and not yet let go
 	active time.Duration // when a request last came
 }
 
 // clientConn is a client's connection.
 type clientConn struct {
-	idle  bool
+	state connState
 	since time.Duration
-	shut  bool // closed by this edge node while idle
+	shut  bool // closed by this edge node while no request was taken on it
 }
 
+type connState int
+
+const (
+	connIdle    connState = iota
+	connReading           // a request has begun to come
+	connBusy              // one has been taken and not answered
+)
+
 // newServer serves at most so many connections at once.
 func newServer(c clock, set policy.Settings, up *upstream, events chan<- any, most int) *server {
 	s := &server{clock: c, settings: set, up: up, events: events, most: most, conns: map[net.Conn]*clientConn{}}
 	s.http = fasthttp.Server{
 		Handler: s.handle, ConnState: s.connState, Concurrency: most + most/8,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: clientIdle,
-		MaxRequestBodySize: mostBody, NoDefaultServerHeader: true, NoDefaultDate: true,
+		MaxRequestBodySize: mostBody, ReadBufferSize: mostHeader, NoDefaultServerHeader: true, NoDefaultDate: true,
 		DisablePreParseMultipartForm: true, Logger: quietLogger{},
 	}
 	return s
@@ -67,7 +77,8 @@
 func (quietLogger) Printf(string, ...any) {}
 
 // connState keeps count of the connections. Over the bound it closes the one
-// that is idle for longest.
+// that has had no request taken for longest: it is idle, or its request is slow
+// to come.
 func (s *server) connState(c net.Conn, state fasthttp.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,20 +86,23 @@
 	switch state {
 	case fasthttp.StateNew:
 		s.active = now
-		s.conns[c] = &clientConn{idle: true, since: now}
-		if len(s.conns) > s.most {
+		if len(s.conns)-s.shut >= s.most {
 			s.shutOldest()
 		}
+		s.conns[c] = &clientConn{since: now}
 	case fasthttp.StateActive:
 		s.active = now
 		if cc := s.conns[c]; cc != nil {
-			cc.idle = false
+			cc.state, cc.since = connReading, now
 		}
 	case fasthttp.StateIdle:
 		if cc := s.conns[c]; cc != nil {
-			cc.idle, cc.since = true, now
+			cc.state, cc.since = connIdle, now
 		}
 	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		if cc := s.conns[c]; cc != nil && cc.shut {
+			s.shut--
+		}
 		delete(s.conns, c)
 	}
 }
@@ -97,25 +111,31 @@
 	var conn net.Conn
 	var oldest *clientConn
 	for c, cc := range s.conns {
-		if cc.idle && !cc.shut && (oldest == nil || cc.since < oldest.since) {
+		if cc.state != connBusy && !cc.shut && (oldest == nil || cc.since < oldest.since) {
 			conn, oldest = c, cc
 		}
 	}
 	if oldest != nil {
-		oldest.shut = true
-		conn.Close()
+		s.close(conn, oldest)
 	}
 }
 
-// shutIdle closes the connections that have been idle for so long.
+func (s *server) close(c net.Conn, cc *clientConn) {
+	cc.shut = true
+	s.shut++
+	c.Close()
+}
+
+// shutIdle closes the connections that have been idle for so long, and those
+// whose requests don't come to an end.
 func (s *server) shutIdle(least time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.now()
 	for c, cc := range s.conns {
-		if cc.idle && !cc.shut && now-cc.since >= least {
-			cc.shut = true
-			c.Close()
+		age := now - cc.since
+		if !cc.shut && (cc.state == connIdle && age >= least || cc.state == connReading && age >= stopReading) {
+			s.close(c, cc)
 		}
 	}
 }
@@ -131,17 +151,21 @@
 func (s *server) crowded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns) > s.most
+	return len(s.conns)-s.shut > s.most
 }
 
-// taken tells whether the request's connection is still open on this side. One
-// that was closed as idle while the request crossed is sent again by the
-// client, so it must not be worked on here.
-func (s *server) taken(c net.Conn) bool {
+// take marks the request's connection as busy if it is still open on this
+// side. A request that crossed the closing of its connection is sent again by
+// the client, so it must not be worked on here.
+func (s *server) take(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cc := s.conns[c]
-	return cc == nil || !cc.shut
+	if cc == nil || cc.shut {
+		return false
+	}
+	cc.state = connBusy
+	return true
 }
 
 func (s *server) handle(ctx *fasthttp.RequestCtx) {
@@ -157,7 +181,7 @@
 		}
 		return
 	}
-	if !s.taken(ctx.Conn()) {
+	if !s.take(ctx.Conn()) {
 		ctx.Error("closed", fasthttp.StatusServiceUnavailable)
 		return
 	}
