Guard the reuse of idle connections past the deadline before

Cause, found by a probe that became the test: alive() looked at the socket through the runtime poller's Read (upstream.go), which fails once the deadline set for the attempt before has passed, so good idle connections were dropped as dead. With Read put back the test dials a second connection and fails.

--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -177,6 +177,23 @@
 	}
 }
 
+// An idle connection outlives the deadline of the attempt before: taken for
+// dead, most connections would be dialled anew, at the app server's cost.
+func TestReusesAfterTheDeadlineBefore(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	u := pool(a.addr())
+	at, do := u.try(time.Second)
+	if r, _ := do(); r.code != policy.OK {
+		t.Fatalf("code %d", r.code)
+	}
+	eventually(t, "the deadline", func() bool { return u.clock.now() > at.deadline })
+	u.sweep()
+	_, do = u.try(patience)
+	if r, _ := do(); r.code != policy.OK || a.conns.Load() != 1 {
+		t.Errorf("code %d, %d connections", r.code, a.conns.Load())
+	}
+}
+
 // New work to a server that drains is over when the grace is: a send decided
 // before, but delayed by its dial, must not be written after.
 func TestDrainedServerGetsNothing(t *testing.T) {
