Take over a new configuration on SIGHUP instead of dying of it

Cause: main.go caught SIGTERM and SIGINT only, so the default action ended the process; nothing reread the file, and fasthttp's DoTimeout in discovery.go could not end an open watch.

Now: SIGHUP is caught before anything else; the file is reread and checked, a bad one is read again for 2 s and otherwise passed over; its discovery goes before GW_DISCOVERY, the open watch ends at once and the list is followed anew, whole, at the new address. The watch moved to net/http, whose requests can be called off. Other settings wait for the next start, and the log says so.

Ruled out: a crash of another kind (the log ends with the signal); planned restarts (all four nodes end by themselves within their time).

Tests seen to fail without the change: TestTerminates ends with "hangup", TestReload never sees the new list.

--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -1,6 +1,6 @@
 // Command pepperfall is one edge node on real sockets. It takes its settings
-// from the environment (GW_CONFIG and its like) and stops on SIGTERM once all
-// that it has taken is answered.
+// from the environment (GW_CONFIG and its like), takes over a new configuration
+// file on SIGHUP, and stops on SIGTERM once all that it has taken is answered.
 package main
 
 import (
@@ -27,6 +27,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	hup := make(chan os.Signal, 1) // caught from the start: by default it would end the process
+	signal.Notify(hup, syscall.SIGHUP)
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	runtime.GOMAXPROCS(1) // an edge node has one core
 	cfg, err := node.LoadConfig(os.Getenv)
@@ -46,7 +48,7 @@
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	slog.Info("serving", "name", cfg.Name, "addr", n.Addr().String())
-	if err := n.Run(stop); err != nil {
+	if err := n.Run(stop, hup); err != nil {
 		slog.Error("stopped", "err", err)
 		return exitServe
 	}
--- a/cmd/pepperfall/main_test.go
+++ b/cmd/pepperfall/main_test.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// SIGTERM ends the program with code 0 once all is answered.
+// SIGTERM ends the program with code 0 once all is answered; SIGHUP does not
+// end it.
 func TestTerminates(t *testing.T) {
 	asked := make(chan struct{}, 100)
 	disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -68,8 +69,10 @@
 		t.Fatal(err)
 	}
 	<-asked // it runs: signals are caught by then
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		if err := cmd.Process.Signal(sig); err != nil {
+			t.Fatal(err)
+		}
 	}
 	done := make(chan error, 1)
 	go func() { done <- cmd.Wait() }()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -30,6 +30,7 @@
 	PeersAll   netip.AddrPort // zero: none
 	Known      *serverList    // the list as last held; nil: none
 	Settings   policy.Settings
+	Reread     func() (*Config, error) // reads a new file; nil: there is none
 
 	DialTimeout time.Duration // an app server that has not accepted by then is out of reach
 	ConnIdle    time.Duration // app servers close idle connections after this
@@ -46,6 +47,22 @@
 // LoadConfig reads the file that GW_CONFIG names; the other GW_ variables,
 // where set, go before what it holds. Errors name the bad setting.
 func LoadConfig(getenv func(string) string) (*Config, error) {
+	c, err := loadFile(getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.Reread = func() (*Config, error) {
+		return loadFile(func(key string) string {
+			if key == "GW_DISCOVERY" {
+				return "" // told at the start: a new file is newer
+			}
+			return getenv(key)
+		})
+	}
+	return c, nil
+}
+
+func loadFile(getenv func(string) string) (*Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return nil, errors.New("GW_CONFIG is not set")
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -5,14 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"log/slog"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"yardcleat.example/yardcleat/internal/wire"
 	"yardcleat.example/yardcleat/policy"
 )
@@ -88,15 +89,47 @@
 
 // discovery follows the list of app servers.
 type discovery struct {
-	addr   string
-	client fasthttp.Client
-	tell   func(*serverList, policy.MembersKind)
+	tell func(*serverList, policy.MembersKind)
+	http http.Client
+
+	mu    sync.Mutex
+	addr  string
+	moved context.CancelFunc // ends the watch at the address before
 }
 
-// run fetches the whole list, then watches it, until ctx ends. What can't be
-// had is asked for again soon; the list held stays in force meanwhile.
+func newDiscovery(addr string, tell func(*serverList, policy.MembersKind)) *discovery {
+	return &discovery{addr: addr, tell: tell, moved: func() {}, http: http.Client{
+		Transport:     &http.Transport{DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: watchWait},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// moveTo ends the open watch and begins anew, with the whole list, at another
+// address.
+func (d *discovery) moveTo(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addr = addr
+	d.moved()
+}
+
+// run follows the list, at whatever address is in force, until ctx ends.
 func (d *discovery) run(ctx context.Context) {
-	d.client.MaxResponseBodySize = mostListBytes
+	for ctx.Err() == nil {
+		at, moved := context.WithCancel(ctx)
+		d.mu.Lock()
+		addr := d.addr
+		d.moved = moved
+		d.mu.Unlock()
+		d.follow(at, addr)
+		moved()
+		d.http.CloseIdleConnections()
+	}
+}
+
+// follow fetches the whole list, then watches it, until ctx ends. What can't be
+// had is asked for again soon; the list held stays in force meanwhile.
+func (d *discovery) follow(ctx context.Context, addr string) {
 	rev, have, backoff, down := int64(0), false, leastBackoff, false
 	for ctx.Err() == nil {
 		query, limit := "", discoveryTimeout
@@ -105,17 +138,17 @@
 			limit = watchWait + watchSlack
 		}
 		began := time.Now()
-		l, err := d.get("http://"+d.addr+"/v1/servers"+query, limit)
+		l, err := d.get(ctx, "http://"+addr+"/v1/servers"+query, limit)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			if !down {
 				slog.Warn("discovery does not answer; the list held stays in force", "err", err)
 			}
 			down = true
 			d.tell(nil, policy.AskFailed)
-			select {
-			case <-ctx.Done():
-			case <-time.After(backoff):
-			}
+			sleep(ctx, backoff)
 			backoff = min(2*backoff, mostBackoff)
 			continue
 		}
@@ -124,7 +157,7 @@
 		}
 		down, backoff = false, leastBackoff
 		if have && l.Rev == rev && time.Since(began) < watchPause {
-			time.Sleep(watchPause) // it does not wait as it should: don't ask without pause
+			sleep(ctx, watchPause) // it does not wait as it should: don't ask without pause
 		}
 		rev = l.Rev
 		switch {
@@ -137,19 +170,30 @@
 	}
 }
 
-func (d *discovery) get(url string, limit time.Duration) (*serverList, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(url)
-	if err := d.client.DoTimeout(req, resp, limit); err != nil {
+func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (*serverList, error) {
+	ctx, end := context.WithTimeout(ctx, limit)
+	defer end()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostListBytes+1))
+	if err != nil {
 		return nil, err
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, fmt.Errorf("status %d", resp.StatusCode())
+	if len(body) > mostListBytes {
+		return nil, fmt.Errorf("a list of over %d bytes", mostListBytes)
 	}
 	var l serverList
-	if err := json.Unmarshal(resp.Body(), &l); err != nil {
+	if err := json.Unmarshal(body, &l); err != nil {
 		return nil, err
 	}
 	return &l, l.check()
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -181,6 +182,7 @@
 	*Node
 	url  string
 	stop context.CancelFunc
+	hup  chan os.Signal
 	done chan error
 }
 
@@ -191,8 +193,9 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{Node: n, url: "http://" + n.Addr().String(), stop: stop, done: make(chan error, 1)}
-	go func() { r.done <- n.Run(ctx) }()
+	r := &running{Node: n, url: "http://" + n.Addr().String(), stop: stop, hup: make(chan os.Signal, 1),
+		done: make(chan error, 1)}
+	go func() { r.done <- n.Run(ctx, r.hup) }()
 	t.Cleanup(func() {
 		stop()
 		http.DefaultClient.CloseIdleConnections()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"time"
 
 	"yardcleat.example/yardcleat/policy"
@@ -78,9 +79,9 @@
 		n.closePeers()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	n.disc = &discovery{addr: cfg.Discovery, tell: func(l *serverList, kind policy.MembersKind) {
+	n.disc = newDiscovery(cfg.Discovery, func(l *serverList, kind policy.MembersKind) {
 		n.loop.events <- members{l, kind}
-	}}
+	})
 	return n, nil
 }
 
@@ -93,8 +94,9 @@
 	}
 }
 
-// Run serves until stop ends, then answers what is open and returns.
-func (n *Node) Run(stop context.Context) error {
+// Run serves until stop ends, then answers what is open and returns. Signals on
+// hup tell that the configuration file is new.
+func (n *Node) Run(stop context.Context, hup <-chan os.Signal) error {
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	defer n.closePeers()
@@ -107,6 +109,7 @@
 	}
 	go n.loop.run(ctx.Done())
 	go n.disc.run(ctx)
+	go n.reload(ctx, hup)
 	go n.sweep(ctx)
 	if n.peers != nil {
 		go n.peers.send(ctx.Done())
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,8 +7,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -390,6 +393,54 @@
 	eventually(t, "the list after discovery is back", serves("a"))
 }
 
+// At SIGHUP the open watch ends at once and the list is followed at the new
+// address, which the file tells even where GW_DISCOVERY told the old one. A
+// file that can't be used changes nothing and is read again.
+func TestReload(t *testing.T) {
+	a, b := newApp(t, answer("200 OK", "", "a")), newApp(t, answer("200 OK", "", "b"))
+	older := newRegistry(t, serving("s-00000001", a.addr()))
+	newer := newRegistry(t, serving("s-00000002", b.addr()))
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(discovery string) {
+		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"settings":%s}`, discovery, testSettings)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+	write(older.addr)
+	cfg, err := LoadConfig(func(key string) string {
+		return map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": older.addr}[key]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	reads, reread := atomic.Int32{}, cfg.Reread
+	cfg.Reread = func() (*Config, error) {
+		reads.Add(1)
+		return reread()
+	}
+	n := start(t, cfg)
+	if err := os.WriteFile(path, []byte(`{"listen":"127.0.0.1:0","disc`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.hup <- syscall.SIGHUP
+	eventually(t, "the half-written file read again", func() bool { return reads.Load() > 2 })
+	if _, body := ask(t, request(n.url, "lookup", patience)); body != "a" {
+		t.Errorf("%q while the new file can't be used", body)
+	}
+	write(newer.addr)
+	eventually(t, "an answer of the server that the new discovery lists", func() bool {
+		resp, body := ask(t, request(n.url, "lookup", patience))
+		return resp.StatusCode == 200 && body == "b"
+	})
+	calls := older.calls.Load()
+	older.set(false, serving("s-00000001", a.addr())) // an open watch would bring this
+	eventually(t, "a watch at the new address", func() bool { return newer.calls.Load() > 1 })
+	if _, body := ask(t, request(n.url, "lookup", patience)); body != "b" || older.calls.Load() != calls {
+		t.Errorf("%q; %d calls at the old address after the new one was told", body, older.calls.Load()-calls)
+	}
+}
+
 // While discovery is silent at the start, the known list has to do.
 func TestKnownListHasToDo(t *testing.T) {
 	a := newApp(t, answer("200 OK", "", "hits"))
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"reflect"
+	"time"
+)
+
+const (
+	reloadPause = 50 * time.Millisecond // a file that can't be used may be half written: it is read again
+	reloadTries = 40
+)
+
+// reload takes over the configuration file's addresses whenever hup says that
+// the file is new. What can't be used changes nothing.
+func (n *Node) reload(ctx context.Context, hup <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		for try := 1; n.cfg.Reread != nil; try++ {
+			cfg, err := n.cfg.Reread()
+			if err == nil {
+				n.apply(cfg)
+				break
+			}
+			if try == reloadTries {
+				slog.Error("new configuration passed over; the old one stays in force", "err", err)
+				break
+			}
+			if !sleep(ctx, reloadPause) {
+				return
+			}
+		}
+	}
+}
+
+// apply takes over what may change while the node serves.
+func (n *Node) apply(cfg *Config) {
+	if !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) || cfg.Listen != n.cfg.Listen || cfg.PeerListen != n.cfg.PeerListen {
+		slog.Warn("new configuration: other settings than discovery are taken over at the next start")
+	}
+	slog.Info("new configuration", "discovery", cfg.Discovery)
+	n.disc.moveTo(cfg.Discovery)
+}
+
+// sleep waits; it is false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
