--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -163,8 +163,8 @@
 const testSettings = `{"me":0,"balancers":1,"zone":"a","zones":["a"],"tick_ms":1,"discovery":"push",
  "caps":{"max_attempts":3,"cancel":true,"retry_after":true,"max_retry_after_ms":1500.0,"dial_timeout_ms":250.0,"conn_idle_ms":15000.0},
  "family_info":{"largest":6,"mail_per_s":60},"report":{"names":["cpu","rps"]},"rules":{"drain_grace_ms":250},
- "classes":[{"name":"lookup","aim_ms":400.0,"hard_limit_ms":1000.0,"semantics":"repeatable","group":"all"},
-  {"name":"loan","aim_ms":1000,"hard_limit_ms":4000,"semantics":"by_key","group":"cell","window_ms":2500}],
+ "classes":[{"name":"lookup","aim_ms":400.0,"hard_limit_ms":10000.0,"semantics":"repeatable","group":"all"},
+  {"name":"loan","aim_ms":1000,"hard_limit_ms":10000,"semantics":"by_key","group":"cell","window_ms":2500}],
  "plans":[{"name":"town"},{"name":"tiny","rate":0.001,"store_size":0.5}]}`
 
 func testConfig(t *testing.T, discovery string) *Config {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -28,12 +28,15 @@
 	answerMargin = 10 * time.Millisecond
 	backstop     = 3 * time.Millisecond  // and then what the module left open is failed
 	lookEvery    = 50 * time.Millisecond // for clients that have gone away
+
+	statusBadRequest, statusConflict = 400, 409
 )
 
 // call is an open request of a client. Its connection's goroutine waits for
 // commands and carries them out one at a time; all else is the loop's.
 type call struct {
 	policy.Request
+	name    string // the client's id for it
 	class   *policy.Class
 	conn    net.Conn // the client's
 	arrived time.Duration
@@ -41,6 +44,7 @@
 	cmd     chan command  // room for one: the next is given once the last is done
 
 	due      time.Duration
+	backstop *timer
 	attempts int
 	ranAt    time.Duration // when the first attempt that may have run was asked for; 0: none
 	out      *attempt      // nil: none is out
@@ -51,6 +55,7 @@
 type command struct {
 	attempt    *attempt
 	refuse     bool
+	bad        int // the status that says the request itself is at fault; 0: it is not
 	retryAfter time.Duration
 }
 
@@ -79,6 +84,7 @@
 	events chan any
 	nextID policy.RequestID
 	calls  map[policy.RequestID]*call
+	names  map[string]*call // the same by the clients' ids
 	timers timerHeap
 	timer  *time.Timer
 	wake   time.Duration // when the timer is set for; 0: it is not
@@ -88,7 +94,7 @@
 
 func newLoop(c clock, g *policy.Gateway, up *upstream) *loop {
 	return &loop{clock: c, gateway: g, up: up, events: make(chan any, eventQueue),
-		calls: map[policy.RequestID]*call{}, timer: time.NewTimer(time.Hour)}
+		calls: map[policy.RequestID]*call{}, names: map[string]*call{}, timer: time.NewTimer(time.Hour)}
 }
 
 // run handles events until done is closed.
@@ -120,7 +126,7 @@
 // fire tells of the timers that have run out.
 func (l *loop) fire() {
 	for len(l.timers) > 0 && l.timers[0].at <= l.clock.now() {
-		t := heap.Pop(&l.timers).(timer)
+		t := heap.Pop(&l.timers).(*timer)
 		switch {
 		case t.call != nil:
 			l.overdue(t.call)
@@ -146,12 +152,17 @@
 }
 
 func (l *loop) arrive(c *call) {
+	if l.names[c.name] != nil {
+		c.cmd <- command{bad: statusConflict} // the one that is open goes on
+		return
+	}
 	l.nextID++
 	c.ID = l.nextID
 	c.due = c.arrived + max(0, c.budget-answerMargin)
 	c.Remaining = max(0, c.due-l.clock.now())
-	l.calls[c.ID] = c
-	heap.Push(&l.timers, timer{at: c.due + backstop, call: c})
+	l.calls[c.ID], l.names[c.name] = c, c
+	c.backstop = &timer{at: c.due + backstop, call: c}
+	heap.Push(&l.timers, c.backstop)
 	l.decide(c.Request)
 }
 
@@ -166,7 +177,9 @@
 	}
 	switch {
 	case o.code == policy.OK:
-		delete(l.calls, c.ID)
+		l.forget(c)
+	case o.unfit && c.final == nil:
+		l.answer(c, command{bad: statusBadRequest})
 	case c.final != nil:
 		l.answer(c, *c.final)
 	}
@@ -194,12 +207,12 @@
 		if c.out == nil {
 			l.answer(c, command{})
 		} else {
-			delete(l.calls, id)
+			l.forget(c)
 			c.final = &command{}
 		}
 		l.decide(policy.Gone{ID: id})
 	}
-	heap.Push(&l.timers, timer{at: l.clock.now() + lookEvery, look: true})
+	heap.Push(&l.timers, &timer{at: l.clock.now() + lookEvery, look: true})
 }
 
 // finish gives a request its final answer, after calling back an attempt that
@@ -217,10 +230,21 @@
 }
 
 func (l *loop) answer(c *call, cmd command) {
-	delete(l.calls, c.ID)
+	l.forget(c)
 	c.cmd <- cmd
 }
 
+// forget drops what is kept of a request once its answer is decided.
+func (l *loop) forget(c *call) {
+	delete(l.calls, c.ID)
+	if l.names[c.name] == c {
+		delete(l.names, c.name)
+	}
+	if c.backstop != nil && c.backstop.place >= 0 {
+		heap.Remove(&l.timers, c.backstop.place)
+	}
+}
+
 func (l *loop) members(m members) {
 	if m.list == nil {
 		if l.mustAsk {
@@ -267,7 +291,7 @@
 			l.finish(c, command{})
 		}
 	case policy.SetTimer:
-		heap.Push(&l.timers, timer{at: l.clock.now() + max(0, a.After), token: a.Token})
+		heap.Push(&l.timers, &timer{at: l.clock.now() + max(0, a.After), token: a.Token})
 	case policy.Tell:
 		if l.tell != nil {
 			l.tell(a.To, a.Data)
@@ -308,18 +332,26 @@
 	token string
 	call  *call
 	look  bool // for clients that have gone
+	place int  // in the heap; -1: it is out
 }
 
-type timerHeap []timer
+type timerHeap []*timer
 
 func (h timerHeap) Len() int           { return len(h) }
 func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.place = len(*h)
+	*h = append(*h, t)
+}
 func (h *timerHeap) Pop() any {
 	old := *h
 	t := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1], t.place = nil, -1
 	*h = old[:len(old)-1]
 	return t
 }
--- /dev/null
+++ b/internal/node/message.go
@@ -0,0 +1,273 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+)
+
+// Bounds of one HTTP/1.1 message.
+const (
+	mostBody   = 64 << 10
+	mostHead   = 16 << 10
+	mostFields = 100
+	mostLine   = 256 // of a chunk's size, with its extensions
+	leastBuf   = 2 << 10
+)
+
+// What is wrong with a message. After any of these nothing more can be read
+// from the connection: where the next message begins is not known.
+var (
+	errSyntax   = errors.New("the message can't be read")
+	errFraming  = errors.New("the message's length is not clear")
+	errLongHead = errors.New("the head is too long")
+	errLongBody = errors.New("the body is too long")
+)
+
+// stream reads messages from a connection. It takes only what can't be
+// understood in two ways, since an app server or a front might understand it
+// the other way. Slices that it gives hold until begin.
+type stream struct {
+	src io.Reader
+	buf []byte
+	off int // what comes before has been used
+}
+
+func (s *stream) buffered() int { return len(s.buf) - s.off }
+
+// begin lets go of the message before.
+func (s *stream) begin() {
+	rest := s.buf[s.off:]
+	if cap(s.buf) > 2*leastBuf && len(rest) < leastBuf {
+		s.buf = append(make([]byte, 0, leastBuf), rest...)
+	} else {
+		s.buf = s.buf[:copy(s.buf, rest)]
+	}
+	s.off = 0
+}
+
+// more reads what comes next, at least a byte.
+func (s *stream) more() error {
+	if len(s.buf) == cap(s.buf) {
+		s.buf = append(make([]byte, 0, max(leastBuf, 2*cap(s.buf))), s.buf...)
+	}
+	n, err := s.src.Read(s.buf[len(s.buf):cap(s.buf)])
+	s.buf = s.buf[:len(s.buf)+n]
+	switch {
+	case n > 0:
+		return nil
+	case err == nil:
+		return io.ErrNoProgress
+	}
+	return err
+}
+
+// take returns the next n bytes.
+func (s *stream) take(n int) ([]byte, error) {
+	for s.buffered() < n {
+		if err := s.more(); err != nil {
+			return nil, err
+		}
+	}
+	s.off += n
+	return s.buf[s.off-n : s.off], nil
+}
+
+// lines returns what comes up to the first CRLF, or, for a head, up to the first
+// empty line. Bytes that can't stand in a line are noticed as they come.
+func (s *stream) lines(start string, whole bool, most int) ([]byte, error) {
+	for i := 0; ; i++ {
+		for s.buffered() <= i {
+			if err := s.more(); err != nil {
+				return nil, err
+			}
+		}
+		b := s.buf[s.off:]
+		switch c := b[i]; {
+		case i >= most:
+			return nil, errLongHead
+		case i < len(start) && c != start[i]:
+			return nil, errSyntax
+		case c == '\n':
+			if i == 0 || b[i-1] != '\r' {
+				return nil, errSyntax
+			}
+			if !whole || i < 2 || b[i-2] == '\n' {
+				s.off += i + 1
+				return b[:i+1], nil
+			}
+		case i > 0 && b[i-1] == '\r', c < ' ' && c != '\t' && c != '\r', c == 0x7f:
+			return nil, errSyntax
+		}
+	}
+}
+
+// head is the head of a message.
+type head struct {
+	first  []byte // the start line
+	fields []field
+	length int // of the body; -1: in chunks, -2: not told
+}
+
+type field struct{ name, value []byte }
+
+// readHead reads a head that begins with start.
+func (s *stream) readHead(h *head, start string) error {
+	b, err := s.lines(start, true, mostHead)
+	if err != nil {
+		return err
+	}
+	h.first, b, _ = bytes.Cut(b, []byte("\r\n"))
+	h.fields, h.length = h.fields[:0], -2
+	for string(b) != "\r\n" && len(b) > 0 {
+		var line []byte
+		line, b, _ = bytes.Cut(b, []byte("\r\n"))
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isToken(name) || len(h.fields) == mostFields {
+			return errSyntax // a folded line and a blank before the colon too
+		}
+		h.fields = append(h.fields, field{name, bytes.Trim(value, " \t")})
+	}
+	return h.frame()
+}
+
+// frame finds how the body's end is told. More than one way is none.
+func (h *head) frame() error {
+	length, n := h.one("Content-Length")
+	coding, m := h.one("Transfer-Encoding")
+	switch {
+	case n+m > 1:
+		return errFraming
+	case n == 1:
+		if h.length, n = decimal(length); n == 0 {
+			return errFraming
+		}
+		if h.length > mostBody {
+			return errLongBody
+		}
+	case m == 1:
+		if !strings.EqualFold(string(coding), "chunked") {
+			return errFraming
+		}
+		h.length = -1
+	}
+	return nil
+}
+
+// one returns a field's value and how often the field is there.
+func (h *head) one(name string) (value []byte, n int) {
+	for i := range h.fields {
+		if f := &h.fields[i]; len(f.name) == len(name) && strings.EqualFold(string(f.name), name) {
+			if n++; n == 1 {
+				value = f.value
+			}
+		}
+	}
+	return value, n
+}
+
+func (h *head) get(name string) []byte {
+	v, _ := h.one(name)
+	return v
+}
+
+// has tells whether a field that lists words lists this one.
+func (h *head) has(name, word string) bool {
+	for i := range h.fields {
+		if !strings.EqualFold(string(h.fields[i].name), name) {
+			continue
+		}
+		for w := range strings.SplitSeq(string(h.fields[i].value), ",") {
+			if strings.EqualFold(strings.Trim(w, " \t"), word) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// readBody reads the body that the head tells of.
+func (s *stream) readBody(h *head) ([]byte, error) {
+	if h.length >= 0 {
+		return s.take(h.length)
+	}
+	var body []byte
+	for h.length == -1 {
+		line, err := s.lines("", false, mostLine)
+		if err != nil {
+			return nil, err
+		}
+		size, _, _ := bytes.Cut(line[:len(line)-2], []byte(";"))
+		n, ok := hexadecimal(size)
+		switch {
+		case !ok:
+			return nil, errFraming
+		case len(body)+n > mostBody:
+			return nil, errLongBody
+		case n == 0:
+			return body, s.trailer()
+		}
+		chunk, err := s.take(n + 2)
+		if err != nil {
+			return nil, err
+		}
+		if string(chunk[n:]) != "\r\n" {
+			return nil, errFraming
+		}
+		body = append(body, chunk[:n]...)
+	}
+	return body, nil
+}
+
+// trailer passes over what follows the last chunk.
+func (s *stream) trailer() error {
+	for range mostFields {
+		line, err := s.lines("", false, mostHead)
+		if err != nil {
+			return err
+		}
+		if len(line) == 2 {
+			return nil
+		}
+		if name, _, ok := bytes.Cut(line, []byte(":")); !ok || !isToken(name) {
+			return errSyntax
+		}
+	}
+	return errLongHead
+}
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		if !letter && (c < '0' || c > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// decimal reads digits and nothing else; n is how many, 0 where that fails.
+func decimal(b []byte) (v, n int) {
+	if len(b) == 0 || len(b) > 18 {
+		return 0, 0
+	}
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, 0
+		}
+		v = 10*v + int(c-'0')
+	}
+	return v, len(b)
+}
+
+func hexadecimal(b []byte) (v int, ok bool) {
+	for _, c := range b {
+		d := strings.IndexByte("0123456789abcdef", c|0x20)
+		if d < 0 || c < '0' {
+			return 0, false
+		}
+		v = 16*v + d
+	}
+	return v, len(b) > 0 && len(b) <= 8
+}
--- /dev/null
+++ b/internal/node/message_test.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// What is taken for a request must mean the same to other readers: the standard
+// library's reads it too, with the same body and the same rest behind it; and
+// how the bytes come in parts changes nothing.
+func FuzzRequest(f *testing.F) {
+	for _, s := range []string{
+		"GET /lookup?q=1 HTTP/1.1\r\nHost: a\r\nX-Call-Terms: units=1, spread=2\r\n\r\nrest",
+		"POST /loan HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcrest",
+		"POST /loan HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nA: b\r\n\r\nrest",
+		"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := clientConn{in: stream{src: bytes.NewReader(data)}}
+		err := c.read()
+		slow := clientConn{in: stream{src: iotest.OneByteReader(bytes.NewReader(data))}}
+		if slowErr := slow.read(); (err == nil) != (slowErr == nil) || !bytes.Equal(c.req.body, slow.req.body) {
+			t.Fatalf("whole: %v %q; byte by byte: %v %q", err, c.req.body, slowErr, slow.req.body)
+		}
+		if err != nil {
+			return
+		}
+		if len(c.req.body) > mostBody {
+			t.Fatalf("a body of %d bytes", len(c.req.body))
+		}
+		br := bufio.NewReader(bytes.NewReader(data))
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			if !strings.Contains(err.Error(), "parse") && !strings.Contains(err.Error(), "method") && !strings.Contains(err.Error(), "Host") {
+				t.Fatalf("taken here, elsewhere: %v", err)
+			}
+			return // a target that is no URL: it goes on as it is
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !bytes.Equal(body, c.req.body) {
+			t.Fatalf("body %q, elsewhere %q, %v", c.req.body, body, err)
+		}
+		there, _ := io.ReadAll(br)
+		here, _ := io.ReadAll(io.MultiReader(bytes.NewReader(c.in.buf[c.in.off:]), c.in.src))
+		if !bytes.Equal(here, there) {
+			t.Fatalf("rest %q, elsewhere %q", here, there)
+		}
+	})
+}
+
+// The same for answers.
+func FuzzAnswer(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhits",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n0\r\n\r\n",
+		"HTTP/1.1 204 No\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		// Not through upConn.Read, which sets deadlines on a socket.
+		c := upConn{in: stream{src: bytes.NewReader(data)}}
+		status, body, framed, err := c.answer()
+		if err != nil || !framed {
+			return
+		}
+		br := bufio.NewReader(bytes.NewReader(data))
+		for range mostInterim + 1 {
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatalf("taken here, elsewhere: %v", err)
+			}
+			there, err := io.ReadAll(resp.Body)
+			if resp.StatusCode < 200 {
+				continue
+			}
+			if resp.StatusCode != status || err != nil || !bytes.Equal(there, body) {
+				t.Fatalf("%d %q, elsewhere %d %q, %v", status, body, resp.StatusCode, there, err)
+			}
+			return
+		}
+	})
+}
+
+// The buffer grows with a large message and is let go after it.
+func TestStreamLetsGo(t *testing.T) {
+	s := stream{src: strings.NewReader(strings.Repeat("a", mostBody) + "b")}
+	if b, err := s.take(mostBody); err != nil || len(b) != mostBody {
+		t.Fatal(len(b), err)
+	}
+	s.begin()
+	if b, err := s.take(1); err != nil || string(b) != "b" || cap(s.buf) > 2*leastBuf {
+		t.Errorf("%q, %v, %d bytes kept", b, err, cap(s.buf))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,7 +49,7 @@
 	}
 	clk := clock{time.Now()}
 	up := &upstream{clock: clk, dial: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1},
-		idleFor: time.Duration(idlePart * float64(cfg.ConnIdle)), grace: cfg.DrainGrace,
+		idleFor: time.Duration(idlePart * float64(cfg.ConnIdle)), grace: cfg.DrainGrace, rest: restFor,
 		most: int(serverPart * float64(cfg.Sockets)), fields: cfg.Settings.ReportNames,
 		servers: map[policy.ServerID]*appServer{}}
 	n := &Node{cfg: cfg, up: up, loop: newLoop(clk, g, up)}
@@ -116,7 +116,7 @@
 		go n.peers.receive()
 	}
 	served := make(chan error, 1)
-	go func() { served <- n.server.http.Serve(n.listener) }()
+	go func() { served <- n.server.serve(n.listener) }()
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,8 +15,6 @@
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -83,9 +81,13 @@
 // What the module has given up on is answered at once, with its advice.
 func TestRefusesAtOnce(t *testing.T) {
 	n := nodeWith(t, refusing(t))
-	r := request(n.url, "loan", time.Hour)
+	r := request(n.url, "loan", patience)
 	r.Header.Set("X-Tier", "tiny") // its store holds less than the request takes
-	resp, _ := ask(t, r)           // held back, it would come after an hour
+	began := time.Now()
+	resp, _ := ask(t, r)
+	if time.Since(began) > patience/2 {
+		t.Error("held back")
+	}
 	if resp.StatusCode != http.StatusTooManyRequests || resp.Header.Get("Retry-After") != "1.5" {
 		t.Errorf("%d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
 	}
@@ -166,7 +168,12 @@
 		{"lookup", "X-Deadline-Ms", "soon"}, {"lookup", "X-Deadline-Ms", "-5"}, {"lookup", "X-Deadline-Ms", "99999999999999999999"},
 		{"lookup", "X-Call-Terms", "units=NaN"}, {"lookup", "X-Call-Terms", "units=-1"}, {"lookup", "X-Call-Terms", "units=1e300"},
 		{"lookup", "X-Call-Terms", "spread=0"}, {"lookup", "X-Call-Terms", "first=9"}, {"lookup", "X-Call-Terms", "=,="},
-		{"loan", "Idempotency-Key", ""},
+		{"lookup", "X-Call-Terms", "units=1.5"}, {"lookup", "X-Call-Terms", "units=1,units=2"}, {"lookup", "X-Call-Terms", "units=+1"},
+		{"lookup", "X-Call-Terms", "units=7"}, {"lookup", "X-Call-Terms", "first=-1"}, {"lookup", "X-Call-Terms", "spread=Inf"},
+		{"lookup", "X-Deadline-Ms", "10002"}, {"lookup", "X-Deadline-Ms", "1e3"}, {"lookup", "X-Deadline-Ms", "480.5"},
+		{"lookup", "Cookie", "key=0000000200000000"}, {"lookup", "Cookie", "key=00000000b4d65521; key=00000000b4d65522"},
+		{"lookup", "X-Request-Id", strings.Repeat("9", 65)}, {"lookup", "X-Class", "loan"}, {"loan", "X-Class", "lookup"},
+		{"loan", "Idempotency-Key", ""}, {"loan", "Idempotency-Key", strings.Repeat("k", 129)},
 	} {
 		r := request(n.url, c.class, patience)
 		r.Header.Set(c.header, c.value)
@@ -187,6 +194,197 @@
 	}
 }
 
+// Requests that two readers may understand in two ways could hide another one:
+// they are answered 400 at most once, nothing of them is sent on and nothing more is read
+// from their connection. The good request behind each must not be served.
+func TestUnclearFraming(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.addr())
+	fields := "Host: app.svc\r\nX-Request-Id: 1\r\nX-Class: loan\r\nX-Tier: town\r\nCookie: key=00000000b4d65521\r\n" +
+		"X-Deadline-Ms: 900\r\nIdempotency-Key: k\r\n"
+	get := "GET /lookup HTTP/1.1\r\nX-Request-Id: 2\r\nX-Class: lookup\r\nX-Tier: town\r\n" +
+		"Cookie: key=00000000b4d65521\r\nX-Deadline-Ms: 900\r\n\r\n"
+	post := "POST /loan HTTP/1.1\r\n" + fields
+	for name, text := range map[string]string{
+		"length and coding":      post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get,
+		"coding and length":      post + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + get,
+		"two lengths":            post + "Content-Length: 0\r\nContent-Length: 9\r\n\r\n" + get,
+		"equal lengths":          post + "Content-Length: 0\r\nContent-Length: 0\r\n\r\n" + get,
+		"listed lengths":         post + "Content-Length: 0, 0\r\n\r\n" + get,
+		"signed length":          post + "Content-Length: +0\r\n\r\n" + get,
+		"negative length":        post + "Content-Length: -1\r\n\r\n" + get,
+		"no length":              post + "Content-Length:\r\n\r\n" + get,
+		"hexadecimal length":     post + "Content-Length: 0x0\r\n\r\n" + get,
+		"unknown coding":         post + "Transfer-Encoding: gzip\r\n\r\n0\r\n\r\n" + get,
+		"two codings":            post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + get,
+		"blank before colon":     post + "Content-Length : 0\r\n\r\n" + get,
+		"folded line":            post + "X-A: b\r\n c: d\r\nContent-Length: 0\r\n\r\n" + get,
+		"bare LF":                post + "X-A: b\nContent-Length: 0\r\n\r\n" + get,
+		"bare CR":                post + "X-A: b\rContent-Length: 9\r\n\r\n" + get,
+		"NUL":                    post + "X-A: b\x00\r\nContent-Length: 0\r\n\r\n" + get,
+		"no colon":               post + "X-A\r\nContent-Length: 0\r\n\r\n" + get,
+		"two hosts":              post + "Host: other\r\nContent-Length: 0\r\n\r\n" + get,
+		"empty line ahead":       "\r\n" + get,
+		"another version":        "GET /lookup HTTP/2.0\r\n\r\n" + get,
+		"two blanks":             "GET  /lookup HTTP/1.1\r\n\r\n" + get,
+		"absolute target":        "GET http://a/lookup HTTP/1.1\r\n\r\n" + get,
+		"chunk without size":     post + "Transfer-Encoding: chunked\r\n\r\n\r\n" + get,
+		"chunk of a bad size":    post + "Transfer-Encoding: chunked\r\n\r\n-1\r\n\r\n" + get,
+		"chunk longer than told": post + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n" + get,
+		"chunk ended by LF":      post + "Transfer-Encoding: chunked\r\n\r\n1\r\na\n0\r\n\r\n" + get,
+	} {
+		c := dial(t, n)
+		_, _ = c.Write([]byte(text))
+		all, _ := io.ReadAll(c)
+		if !strings.HasPrefix(string(all), "HTTP/1.1 400 ") || strings.Count(string(all), "HTTP/1.1") != 1 {
+			t.Errorf("%s: %q", name, all)
+		}
+	}
+	if a.seen.Load() != 0 {
+		t.Errorf("%d requests were sent on", a.seen.Load())
+	}
+	c := dial(t, n) // the same form, told in one way
+	_, _ = c.Write([]byte(post + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	if all, _ := io.ReadAll(c); !strings.HasPrefix(string(all), "HTTP/1.1 200 ") {
+		t.Errorf("a clear one: %q", all)
+	}
+}
+
+// Huge bodies and endless heads are refused when their size is told or passed,
+// not when they have come, and the refusal reaches a client that still sends.
+func TestOversize(t *testing.T) {
+	n := nodeWith(t, refusing(t))
+	for name, c := range map[string]struct{ head, more, want string }{
+		"60 MB":        {"POST /loan HTTP/1.1\r\nContent-Length: 62914560\r\n\r\n", strings.Repeat("b", 1<<20), "HTTP/1.1 413 "},
+		"huge length":  {"POST /loan HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", "b", "HTTP/1.1 400 "},
+		"endless head": {"GET /lookup HTTP/1.1\r\n", strings.Repeat("X-Pad: p\r\n", 8<<10), "HTTP/1.1 431 "},
+		"huge chunk":   {"POST /loan HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n", "b", "HTTP/1.1 413 "},
+	} {
+		conn := dial(t, n)
+		_, _ = conn.Write([]byte(c.head))
+		go func() { _, _ = conn.Write([]byte(c.more)) }() // may be cut off
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		if err != nil || !strings.HasPrefix(line, c.want) {
+			t.Errorf("%s: %q, %v", name, line, err)
+		}
+	}
+}
+
+// A connection that brings no request, or half of one, is let go within the 3 s
+// that such a client is owed.
+func TestSilentClientsAreLetGo(t *testing.T) {
+	n := nodeWith(t, refusing(t))
+	silent, half := dial(t, n), dial(t, n)
+	_, _ = half.Write([]byte("GET /lookup HTTP/1.1\r\nHost: a"))
+	began := time.Now()
+	if all, err := io.ReadAll(silent); err != nil || len(all) > 0 {
+		t.Errorf("silent: %q, %v", all, err)
+	}
+	if all, err := io.ReadAll(half); err != nil || !strings.HasPrefix(string(all), "HTTP/1.1 408 ") {
+		t.Errorf("half a request: %q, %v", all, err)
+	}
+	if firstRequest > 2500*time.Millisecond || time.Since(began) > patience-time.Second {
+		t.Errorf("let go after %v", time.Since(began))
+	}
+}
+
+// Connections that bring nothing of use make room before those that have
+// carried good requests, however old these are.
+func TestUsefulClientsStay(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.addr())
+	http.DefaultClient.CloseIdleConnections()
+	eventually(t, "no connection", func() bool { open, _ := n.server.state(); return open == 0 })
+	n.server.mu.Lock()
+	n.server.most = 4
+	n.server.mu.Unlock()
+	useful := dial(t, n)
+	send(t, useful, request(n.url, "lookup", patience))()
+	for range 40 {
+		dial(t, n)
+	}
+	silent := dial(t, n)
+	eventually(t, "room made", func() bool { open, _ := n.server.state(); return open <= 4 })
+	if resp := send(t, useful, request(n.url, "lookup", patience))(); resp.StatusCode != 200 {
+		t.Errorf("%d", resp.StatusCode)
+	}
+	silent.Close()
+}
+
+// A request under the id of one that is open is refused, and the first goes on:
+// two under one id would be two attempts out at once.
+func TestIDOfAnOpenRequest(t *testing.T) {
+	release := make(chan struct{})
+	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+		<-release
+		return answer("200 OK", "", "hits")(c, r, b)
+	})
+	n := nodeWith(t, a.addr())
+	first := send(t, dial(t, n), request(n.url, "loan", patience))
+	eventually(t, "the first at the app server", func() bool { return a.seen.Load() == 1 })
+	if resp := send(t, dial(t, n), request(n.url, "loan", patience))(); resp.StatusCode != http.StatusConflict {
+		t.Errorf("the second: %d", resp.StatusCode)
+	}
+	close(release)
+	if resp := first(); resp.StatusCode != 200 || a.seen.Load() != 1 {
+		t.Errorf("the first: %d, %d attempts", resp.StatusCode, a.seen.Load())
+	}
+	if resp := send(t, dial(t, n), request(n.url, "loan", patience))(); resp.StatusCode != 200 {
+		t.Errorf("once it is free again: %d", resp.StatusCode)
+	}
+}
+
+// What an app server calls unfit is the client's fault: it is neither tried
+// elsewhere nor held against the server.
+func TestUnfitRequestIsNotTriedAgain(t *testing.T) {
+	a := newApp(t, answer("400 No", "", ""))
+	n := nodeWith(t, a.addr())
+	for i := range 5 {
+		if resp, _ := ask(t, request(n.url, "lookup", patience)); resp.StatusCode != 400 || int(a.seen.Load()) != i+1 {
+			t.Fatalf("%d after %d attempts", resp.StatusCode, a.seen.Load())
+		}
+	}
+}
+
+// Requests sent one behind another each get one answer, in their order; a
+// client that sends only useless ones is let go.
+func TestBursts(t *testing.T) {
+	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+		return answer("200 OK", "", r.Header.Get("X-Request-Id")+";")(c, r, b)
+	})
+	n := nodeWith(t, a.addr())
+	c := dial(t, n)
+	var text, want strings.Builder
+	for i := range 300 {
+		r := request(n.url, "lookup", patience)
+		r.Header.Set("X-Request-Id", fmt.Sprint(i))
+		if i == 299 {
+			r.Header.Set("Connection", "close")
+		}
+		_ = r.Write(&text)
+		fmt.Fprintf(&want, "%d;", i)
+	}
+	go func() { _, _ = io.WriteString(c, text.String()) }()
+	br, got := bufio.NewReader(c), ""
+	for range 300 {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		got += string(body)
+	}
+	if _, err := br.ReadByte(); got != want.String() || err != io.EOF {
+		t.Errorf("%q, then %v", got, err)
+	}
+	c = dial(t, n)
+	bad := strings.Repeat("GET /none HTTP/1.1\r\nX-Request-Id: 1\r\nX-Class: none\r\n\r\n", 50)
+	_, _ = io.WriteString(c, bad)
+	if all, _ := io.ReadAll(c); strings.Count(string(all), "HTTP/1.1 400 ") != mostBad {
+		t.Errorf("%d answers to useless requests, want %d", strings.Count(string(all), "HTTP/1.1 400 "), mostBad)
+	}
+}
+
 func dial(t *testing.T, n *running) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", n.Addr().String())
@@ -236,6 +434,9 @@
 	eventually(t, "the stop", n.server.draining.Load)
 	fresh := dial(t, n)
 	refused := request(n.url, "lookup", patience)
+	again := request(n.url, "lookup", patience)
+	again.Header.Set("X-Request-Id", "again") // the first is open still
+	refused.Header.Set("X-Request-Id", "refused")
 	refused.Header.Set("X-Tier", "tiny")
 	refused.Header.Set("Cookie", "key=0000000000000001") // the plan goes with the customer
 	for what, c := range map[string]struct {
@@ -243,7 +444,7 @@
 		r    *http.Request
 		want int
 	}{
-		"old connection": {old, request(n.url, "lookup", patience), 200},
+		"old connection": {old, again, 200},
 		"new connection": {fresh, refused, 429},
 	} {
 		if resp := send(t, c.conn, c.r)(); resp.StatusCode != c.want || !resp.Close {
@@ -305,21 +506,21 @@
 // the client: worked on here too it would have its effect twice.
 func TestCrossedRequestIsNotWorkedOn(t *testing.T) {
 	n := nodeWith(t, refusing(t))
-	c, other := net.Pipe()
+	pipe, other := net.Pipe()
 	defer other.Close()
-	n.server.connState(c, fasthttp.StateNew)
+	c := n.server.enter(pipe)
 	n.server.shutIdle(0)
 	if n.server.take(c) {
 		t.Error("a shut connection counts as open")
 	}
-	n.server.connState(c, fasthttp.StateNew)
+	c = n.server.enter(pipe)
 	if !n.server.take(c) {
 		t.Error("an open connection counts as shut")
 	}
 	n.server.shutIdle(0)
 	n.server.mu.Lock()
 	defer n.server.mu.Unlock()
-	if n.server.conns[c].shut {
+	if c.shut {
 		t.Error("a busy connection was shut")
 	}
 }
--- /dev/null
+++ b/internal/node/request.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"yardcleat.example/yardcleat/internal/wire"
+	"yardcleat.example/yardcleat/policy"
+)
+
+const (
+	mostName     = 64  // bytes of a request's id
+	mostKey      = 128 // of an Idempotency-Key
+	customerHex  = 16
+	customerBits = 33
+)
+
+// startLine splits the first line.
+func (r *clientRequest) startLine() error {
+	var version []byte
+	var ok, whole bool
+	r.method, version, ok = bytes.Cut(r.first, []byte(" "))
+	r.target, version, whole = bytes.Cut(version, []byte(" "))
+	if !ok || !whole || !isToken(r.method) || len(r.target) == 0 || r.target[0] != '/' || !visible(r.target) {
+		return errSyntax
+	}
+	if v := string(version); v != "HTTP/1.1" && (v != "HTTP/1.0" || r.length == -1) {
+		return errSyntax
+	}
+	if _, n := r.one("Host"); n > 1 {
+		return errSyntax
+	}
+	return nil
+}
+
+// over tells whether the client wants its connection closed.
+func (r *clientRequest) over() bool {
+	return r.has("Connection", "close") || bytes.HasSuffix(r.first, []byte("1.0")) && !r.has("Connection", "keep-alive")
+}
+
+func visible(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func path(target []byte) string {
+	p, _, _ := bytes.Cut(target, []byte("?"))
+	return string(p)
+}
+
+// parse checks a client's request: what is not as agreed is turned away before
+// the module sees it, so that it neither makes nor changes a customer's counts.
+// The errors go to the client.
+func (s *server) parse(r *clientRequest) (*call, error) {
+	c := &call{arrived: s.clock.now(), cmd: make(chan command, 1)}
+	for _, name := range []string{"X-Request-Id", "X-Class", "X-Tier", "Cookie", "X-Deadline-Ms", "Idempotency-Key",
+		"X-Call-Terms", "X-Retry", "Content-Type"} {
+		if _, n := r.one(name); n > 1 {
+			return nil, fmt.Errorf("%s: more than once", name)
+		}
+	}
+	id := r.get("X-Request-Id")
+	if len(id) == 0 || len(id) > mostName || !visible(id) {
+		return nil, errors.New("X-Request-Id: missing, too long or not plain")
+	}
+	c.name = string(id)
+	if err := s.class(c, r); err != nil {
+		return nil, err
+	}
+	c.Plan = wire.Word(string(r.get("X-Tier")))
+	known := false
+	for i := range s.settings.Plans {
+		known = known || s.settings.Plans[i].Name == c.Plan
+	}
+	if !known {
+		return nil, fmt.Errorf("X-Tier: unknown plan %q", c.Plan)
+	}
+	var err error
+	if c.Customer, err = customer(string(r.get("Cookie"))); err != nil {
+		return nil, err
+	}
+	ms, n := decimal(r.get("X-Deadline-Ms"))
+	c.budget = time.Duration(ms) * time.Millisecond
+	if n == 0 || n > 9 || c.budget > c.class.Deadline+time.Millisecond { // the settings' may have been rounded
+		return nil, fmt.Errorf("X-Deadline-Ms: not whole milliseconds up to the class's %v", c.class.Deadline)
+	}
+	c.Retry = string(r.get("X-Retry")) == "1"
+	return c, s.terms(&c.Request, string(r.get("X-Call-Terms")))
+}
+
+// class finds the request's class; method and path follow from it.
+func (s *server) class(c *call, r *clientRequest) error {
+	c.Class = wire.Word(string(r.get("X-Class")))
+	for i := range s.settings.Classes {
+		if s.settings.Classes[i].Name == c.Class {
+			c.class = &s.settings.Classes[i]
+		}
+	}
+	if c.class == nil {
+		return fmt.Errorf("X-Class: unknown class %q", c.Class)
+	}
+	first, _, _ := strings.Cut(path(r.target)[1:], "/")
+	key := r.get("Idempotency-Key")
+	switch {
+	case wire.Word(first) != c.Class:
+		return errors.New("X-Class: not the path's")
+	case c.class.Effect == policy.Safe && (string(r.method) != "GET" || len(r.body) > 0):
+		return fmt.Errorf("class %s: not GET without a body", c.Class)
+	case c.class.Effect != policy.Safe && string(r.method) != "POST":
+		return fmt.Errorf("class %s: not POST", c.Class)
+	case c.class.Effect == policy.Keyed && (len(key) == 0 || len(key) > mostKey || !visible(key)):
+		return errors.New("Idempotency-Key: missing, too long or not plain")
+	}
+	return nil
+}
+
+// customer reads the customer from the cookies.
+func customer(cookies string) (string, error) {
+	found := ""
+	for pair := range strings.SplitSeq(cookies, ";") {
+		if k, v, _ := strings.Cut(strings.Trim(pair, " \t"), "="); k == "key" {
+			if found != "" {
+				return "", errors.New("cookie key: more than once")
+			}
+			found = v
+		}
+	}
+	if _, err := strconv.ParseUint(found, 16, customerBits); err != nil || len(found) != customerHex {
+		return "", fmt.Errorf("cookie key: not %d hexadecimal digits of a number below 2^%d", customerHex, customerBits)
+	}
+	return strings.ToLower(found), nil
+}
+
+// terms reads the units that a request takes and the customer's set.
+func (s *server) terms(r *policy.Request, text string) error {
+	r.Units, r.Spread = 1, s.settings.Gateways
+	if text == "" {
+		return nil
+	}
+	units, spread, first := false, false, false
+	for pair := range strings.SplitSeq(text, ",") {
+		k, v, _ := strings.Cut(strings.Trim(pair, " \t"), "=")
+		x, n := decimal([]byte(v))
+		ok := n > 0
+		switch k {
+		case "units":
+			ok = ok && !units && x >= 1 && float64(x) <= max(s.settings.LargestUnits, 1)
+			r.Units, units = float64(x), true
+		case "spread":
+			ok = ok && !spread && x >= 1 && x <= s.settings.Gateways
+			r.Spread, spread = x, true
+		case "first":
+			ok = ok && !first && x < s.settings.Gateways
+			r.First, first = x, true
+		}
+		if !ok {
+			return fmt.Errorf("X-Call-Terms: %q is no whole number, out of range or there twice", k)
+		}
+	}
+	return nil
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -2,28 +2,28 @@
 
 import (
 	"errors"
-	"fmt"
+	"io"
 	"net"
+	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
-	"yardcleat.example/yardcleat/internal/wire"
 	"yardcleat.example/yardcleat/policy"
 )
 
 const (
-	mostBody      = 64 << 10
-	mostDeadline  = time.Hour
-	mostHeader    = 16 << 10
-	readTimeout   = 5 * time.Second // for a whole request; the longest deadline is less
-	writeTimeout  = 10 * time.Second
-	clientIdle    = 2 * time.Minute
-	customerDigit = 16
+	firstRequest = 2 * time.Second  // from the connect to the end of the first request
+	wholeRequest = 2 * time.Second  // from a later request's first byte to its last
+	clientIdle   = 10 * time.Second // between requests
+	writeTimeout = 5 * time.Second
+	acceptPause  = 5 * time.Millisecond
+	mostBad      = 3 // requests in a row that can't be used, then the connection is closed
+
+	lingerFor  = 500 * time.Millisecond // a client that still sends is given so long to read why not
+	lingerMost = 256 << 10              // bytes
 )
 
 // server is the clients' side: it reads their requests, hands them to the
@@ -35,19 +35,26 @@
 	events   chan<- any
 	ready    atomic.Bool
 	draining atomic.Bool
-	http     fasthttp.Server
 
 	mu     sync.Mutex
 	most   int // connections kept open at once
-	conns  map[net.Conn]*clientConn
+	conns  map[*clientConn]struct{}
 	shut   int           // of them, closed here and not yet let go
 	active time.Duration // when a request last came
 }
 
 // clientConn is a client's connection.
 type clientConn struct {
+	net.Conn
+	in  stream
+	req clientRequest
+	out []byte
+	bad int // requests that couldn't be used since the last that could
+
+	// Under the server's mutex.
 	state connState
 	since time.Duration
+	good  bool // a request that could be used has come
 	shut  bool // closed by this edge node while no request was taken on it
 }
 
@@ -57,73 +64,113 @@
 	connIdle    connState = iota
 	connReading           // a request has begun to come
 	connBusy              // one has been taken and not answered
+	connLinger            // turned away
 )
 
-// newServer serves at most so many connections at once.
+// clientRequest is a request as it came.
+type clientRequest struct {
+	head
+	method, target []byte
+	body           []byte
+}
+
+// newServer keeps at most so many connections open at once.
 func newServer(c clock, set policy.Settings, up *upstream, events chan<- any, most int) *server {
-	s := &server{clock: c, settings: set, up: up, events: events, most: most, conns: map[net.Conn]*clientConn{}}
-	s.http = fasthttp.Server{
-		Handler: s.handle, ConnState: s.connState, Concurrency: most + most/8,
-		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: clientIdle,
-		MaxRequestBodySize: mostBody, ReadBufferSize: mostHeader, NoDefaultServerHeader: true, NoDefaultDate: true,
-		DisablePreParseMultipartForm: true, Logger: quietLogger{},
+	return &server{clock: c, settings: set, up: up, events: events, most: most, conns: map[*clientConn]struct{}{}}
+}
+
+// serve accepts connections until the listener is closed.
+func (s *server) serve(ln net.Listener) error {
+	for {
+		c, err := ln.Accept()
+		switch {
+		case err == nil:
+			if cc := s.enter(c); cc != nil {
+				go s.talk(cc)
+			}
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case passes(err):
+			s.mu.Lock()
+			s.shutOne()
+			s.mu.Unlock()
+			time.Sleep(acceptPause)
+		default:
+			return err
+		}
 	}
-	return s
 }
 
-// quietLogger drops fasthttp's line per broken connection.
-type quietLogger struct{}
+// passes tells whether accepting may go on: descriptors or memory are short, or
+// the connection broke before it was accepted.
+func passes(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED,
+		syscall.EINTR, syscall.EPROTO} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
 
-func (quietLogger) Printf(string, ...any) {}
+// enter counts a new connection. Over the bound another is closed for it, or
+// itself when all others are busy.
+func (s *server) enter(c net.Conn) *clientConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns)-s.shut >= s.most && !s.shutOne() {
+		c.Close()
+		return nil
+	}
+	s.active = s.clock.now()
+	cc := &clientConn{Conn: c, since: s.active}
+	cc.in.src = c
+	s.conns[cc] = struct{}{}
+	return cc
+}
 
-// connState keeps count of the connections. Over the bound it closes the one
-// that has had no request taken for longest: it is idle, or its request is slow
-// to come.
-func (s *server) connState(c net.Conn, state fasthttp.ConnState) {
+func (s *server) leave(cc *clientConn) {
+	cc.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock.now()
-	switch state {
-	case fasthttp.StateNew:
-		s.active = now
-		if len(s.conns)-s.shut >= s.most {
-			s.shutOldest()
-		}
-		s.conns[c] = &clientConn{since: now}
-	case fasthttp.StateActive:
-		s.active = now
-		if cc := s.conns[c]; cc != nil {
-			cc.state, cc.since = connReading, now
-		}
-	case fasthttp.StateIdle:
-		if cc := s.conns[c]; cc != nil {
-			cc.state, cc.since = connIdle, now
-		}
-	case fasthttp.StateClosed, fasthttp.StateHijacked:
-		if cc := s.conns[c]; cc != nil && cc.shut {
-			s.shut--
-		}
-		delete(s.conns, c)
+	if cc.shut {
+		s.shut--
 	}
+	delete(s.conns, cc)
 }
 
-func (s *server) shutOldest() {
-	var conn net.Conn
-	var oldest *clientConn
-	for c, cc := range s.conns {
-		if cc.state != connBusy && !cc.shut && (oldest == nil || cc.since < oldest.since) {
-			conn, oldest = c, cc
+// shutOne closes the connection that is missed least: one that has been turned
+// away, one that has brought nothing of use, then one that is idle; the oldest
+// first.
+func (s *server) shutOne() bool {
+	var least *clientConn
+	rank := func(cc *clientConn) int {
+		switch {
+		case cc.state == connLinger:
+			return 0
+		case !cc.good:
+			return 1
 		}
+		return 2
 	}
-	if oldest != nil {
-		s.close(conn, oldest)
+	for cc := range s.conns {
+		if cc.state == connBusy || cc.shut {
+			continue
+		}
+		if least == nil || rank(cc) < rank(least) || rank(cc) == rank(least) && cc.since < least.since {
+			least = cc
+		}
 	}
+	if least != nil {
+		s.close(least)
+	}
+	return least != nil
 }
 
-func (s *server) close(c net.Conn, cc *clientConn) {
+func (s *server) close(cc *clientConn) {
 	cc.shut = true
 	s.shut++
-	c.Close()
+	cc.Close()
 }
 
 // shutIdle closes the connections that have been idle for so long, and those
@@ -132,10 +179,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.now()
-	for c, cc := range s.conns {
+	for cc := range s.conns {
 		age := now - cc.since
 		if !cc.shut && (cc.state == connIdle && age >= least || cc.state == connReading && age >= stopReading) {
-			s.close(c, cc)
+			s.close(cc)
 		}
 	}
 }
@@ -147,148 +194,207 @@
 	return len(s.conns), s.clock.now() - s.active
 }
 
-// crowded tells whether more connections are open than are kept.
-func (s *server) crowded() bool {
+// become notes what a connection does now.
+func (s *server) become(cc *clientConn, state connState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)-s.shut > s.most
+	cc.state, cc.since = state, s.clock.now()
+	if state == connReading {
+		s.active = cc.since
+	}
 }
 
 // take marks the request's connection as busy if it is still open on this
 // side. A request that crossed the closing of its connection is sent again by
 // the client, so it must not be worked on here.
-func (s *server) take(c net.Conn) bool {
+func (s *server) take(cc *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	cc := s.conns[c]
-	if cc == nil || cc.shut {
+	if cc.shut {
 		return false
 	}
-	cc.state = connBusy
+	cc.state, cc.good = connBusy, true
 	return true
 }
 
-func (s *server) handle(ctx *fasthttp.RequestCtx) {
-	// At the end, since an error answer starts from an empty one.
-	defer func() {
-		if s.draining.Load() || s.crowded() {
-			ctx.SetConnectionClose()
+// talk serves a connection, one request after another.
+func (s *server) talk(cc *clientConn) {
+	defer s.leave(cc)
+	for wait := firstRequest; ; wait = clientIdle {
+		cc.in.begin()
+		if cc.in.buffered() == 0 {
+			if cc.SetReadDeadline(time.Now().Add(wait)) != nil || cc.in.more() != nil {
+				return // idle for long, or gone
+			}
 		}
-	}()
-	if string(ctx.Path()) == "/healthz" {
-		if !s.ready.Load() || s.draining.Load() {
-			ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
+		s.become(cc, connReading)
+		if wait != firstRequest && cc.SetReadDeadline(time.Now().Add(wholeRequest)) != nil {
+			return
 		}
-		return
-	}
-	if !s.take(ctx.Conn()) {
-		ctx.Error("closed", fasthttp.StatusServiceUnavailable)
-		return
-	}
-	c, err := s.parse(&ctx.Request)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
-	}
-	c.conn = ctx.Conn()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	s.events <- c
-	for cmd := range c.cmd {
-		if cmd.attempt == nil {
-			s.final(ctx, cmd)
+		if err := cc.read(); err != nil {
+			if status := statusOf(err); status != 0 {
+				s.turnAway(cc, status, err)
+			}
 			return
 		}
-		resp.Reset()
-		r := s.up.do(cmd.attempt, &ctx.Request, resp)
-		s.events <- outcome{c, cmd.attempt, r}
-		if r.code == policy.OK {
-			ctx.SetContentTypeBytes(resp.Header.ContentType())
-			ctx.SetBody(resp.Body())
+		if !s.handle(cc) {
 			return
 		}
+		s.become(cc, connIdle)
 	}
 }
 
-// final writes the answer to what was not served.
-func (s *server) final(ctx *fasthttp.RequestCtx, cmd command) {
-	if !cmd.refuse {
-		ctx.Error("failed", fasthttp.StatusBadGateway)
+// read reads a whole request.
+func (cc *clientConn) read() error {
+	r := &cc.req
+	if err := cc.in.readHead(&r.head, ""); err != nil {
+		return err
+	}
+	if err := r.startLine(); err != nil {
+		return err
+	}
+	if _, n := r.one("Expect"); n > 0 && r.length > cc.in.buffered() {
+		if _, err := io.WriteString(cc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return err
+		}
+	}
+	var err error
+	r.body, err = cc.in.readBody(&r.head)
+	return err
+}
+
+// statusOf is the answer to a request that can't be read; 0: none is owed.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, errLongBody):
+		return 413
+	case errors.Is(err, errLongHead):
+		return 431
+	case errors.Is(err, errSyntax), errors.Is(err, errFraming):
+		return 400
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return 408
+	}
+	return 0
+}
+
+// turnAway answers what can't be read and lets go of the connection. What the
+// client still sends is passed over for a while: were it closed at once, the
+// answer might never reach it.
+func (s *server) turnAway(cc *clientConn, status int, err error) {
+	s.become(cc, connLinger)
+	if s.answer(cc, status, "Connection: close\r\n", err.Error()) != nil {
 		return
 	}
-	ctx.Error("refused", fasthttp.StatusTooManyRequests)
-	if cmd.retryAfter > 0 {
-		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(cmd.retryAfter.Seconds(), 'f', -1, 64))
+	if tcp, ok := cc.Conn.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
+		return
 	}
+	if cc.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(cc.Conn, lingerMost))
+	}
+}
+
+// answer writes an answer in one piece.
+func (s *server) answer(cc *clientConn, status int, fields, body string) error {
+	return cc.write(append(appendHead(cc.out[:0], status, fields, len(body)), body...))
+}
+
+func appendHead(b []byte, status int, fields string, length int) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, reasons[status]...)
+	b = append(b, "\r\n"...)
+	b = append(b, fields...)
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(length), 10)
+	return append(b, "\r\n\r\n"...)
 }
 
-// parse reads a client's request. Its errors go to the client.
-func (s *server) parse(req *fasthttp.Request) (*call, error) {
-	h := &req.Header
-	c := &call{arrived: s.clock.now(), cmd: make(chan command, 1)}
-	if id := h.Peek("X-Request-Id"); len(id) == 0 || len(id) > 64 {
-		return nil, errors.New("X-Request-Id: missing or too long")
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 408: "Request Timeout", 409: "Conflict",
+	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
+	503: "Service Unavailable"}
+
+func (cc *clientConn) write(b []byte) error {
+	if cc.out = b; cap(b) > 4*leastBuf {
+		cc.out = nil // a large one is not kept
 	}
-	c.Class = wire.Word(string(h.Peek("X-Class")))
-	for i := range s.settings.Classes {
-		if s.settings.Classes[i].Name == c.Class {
-			c.class = &s.settings.Classes[i]
-		}
+	if err := cc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
 	}
-	if c.class == nil {
-		return nil, fmt.Errorf("X-Class: unknown class %q", c.Class)
+	_, err := cc.Write(b)
+	return err
+}
+
+// handle answers a request that could be read; it is false when the connection
+// is over.
+func (s *server) handle(cc *clientConn) bool {
+	r := &cc.req
+	if path(r.target) == "/healthz" && string(r.method) == "GET" {
+		if !s.ready.Load() || s.draining.Load() {
+			return s.reply(cc, 503, "", "not ready")
+		}
+		return s.reply(cc, 200, "", "")
 	}
-	if c.class.Effect == policy.Keyed && len(h.Peek("Idempotency-Key")) == 0 {
-		return nil, errors.New("Idempotency-Key: missing")
+	c, err := s.parse(r)
+	if err != nil {
+		return s.bad(cc, 400, err.Error())
 	}
-	c.Plan = wire.Word(string(h.Peek("X-Tier")))
-	known := false
-	for i := range s.settings.Plans {
-		known = known || s.settings.Plans[i].Name == c.Plan
+	if !s.take(cc) {
+		return false
 	}
-	if !known {
-		return nil, fmt.Errorf("X-Tier: unknown plan %q", c.Plan)
+	c.conn = cc.Conn
+	s.events <- c
+	for cmd := range c.cmd {
+		if cmd.attempt == nil {
+			return s.final(cc, cmd)
+		}
+		res := s.up.do(cmd.attempt, r)
+		s.events <- outcome{c, cmd.attempt, res}
+		if res.code == policy.OK {
+			cc.bad = 0
+			fields := ""
+			if len(res.contentType) > 0 {
+				fields = "Content-Type: " + res.contentType + "\r\n"
+			}
+			return s.reply(cc, 200, fields, res.body)
+		}
 	}
-	c.Customer = string(h.Cookie("key"))
-	if _, err := strconv.ParseUint(c.Customer, 16, 64); err != nil || len(c.Customer) != customerDigit {
-		return nil, errors.New("cookie key: not 16 hexadecimal digits")
+	return false
+}
+
+// reply answers a request; the connection goes on if both sides want it.
+func (s *server) reply(cc *clientConn, status int, fields, body string) bool {
+	over := s.draining.Load() || cc.req.over()
+	if over {
+		fields += "Connection: close\r\n"
 	}
-	ms, err := strconv.ParseInt(string(h.Peek("X-Deadline-Ms")), 10, 64)
-	if err != nil || ms < 0 || ms > mostDeadline.Milliseconds() {
-		return nil, errors.New("X-Deadline-Ms: not whole milliseconds of an hour at most")
+	return s.answer(cc, status, fields, body) == nil && !over
+}
+
+// bad answers a request that can't be used. A client that sends nothing else is
+// let go.
+func (s *server) bad(cc *clientConn, status int, why string) bool {
+	if cc.bad++; cc.bad < mostBad {
+		return s.reply(cc, status, "", why)
 	}
-	c.budget = time.Duration(ms) * time.Millisecond
-	c.Retry = string(h.Peek("X-Retry")) == "1"
-	return c, s.terms(&c.Request, string(h.Peek("X-Call-Terms")))
+	s.turnAway(cc, status, errors.New(why))
+	return false
 }
 
-// terms reads the units that a request takes and the customer's set.
-func (s *server) terms(r *policy.Request, text string) error {
-	r.Units, r.Spread = 1, s.settings.Gateways
-	if text == "" {
-		return nil
+// final writes the answer to what was not served.
+func (s *server) final(cc *clientConn, cmd command) bool {
+	switch {
+	case cmd.bad != 0:
+		return s.bad(cc, cmd.bad, "this request can't be used")
+	case !cmd.refuse:
+		cc.bad = 0
+		return s.reply(cc, 502, "", "failed")
 	}
-	for pair := range strings.SplitSeq(text, ",") {
-		k, v, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		x, err := strconv.ParseFloat(v, 64)
-		if err != nil {
-			return fmt.Errorf("X-Call-Terms: %s is no number", k)
-		}
-		ok := true
-		switch k {
-		case "units":
-			ok = x > 0 && x <= max(s.settings.LargestUnits, 1)
-			r.Units = x
-		case "spread":
-			ok = x >= 1 && x <= float64(s.settings.Gateways)
-			r.Spread = int(x)
-		case "first":
-			ok = x >= 0 && x < float64(s.settings.Gateways)
-			r.First = int(x)
-		}
-		if !ok {
-			return fmt.Errorf("X-Call-Terms: %s is out of range", k)
-		}
+	cc.bad = 0
+	fields := ""
+	if cmd.retryAfter > 0 {
+		fields = "Retry-After: " + strconv.FormatFloat(cmd.retryAfter.Seconds(), 'f', -1, 64) + "\r\n"
 	}
-	return nil
+	return s.reply(cc, 429, fields, "refused")
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -13,16 +12,20 @@
 	"syscall"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"yardcleat.example/yardcleat/policy"
 )
 
 const (
-	mostAnswer  = 1 << 20 // bytes of an answer's body; the protocol allows 64 KiB
-	idlePart    = 0.6     // of the time after which app servers close idle connections
-	identity    = -2      // fasthttp's content length where none is told
+	idlePart    = 0.6 // of the time after which app servers close idle connections
 	graceMargin = 50 * time.Millisecond
+	answerStart = "HTTP/1.1 "
+	answerStall = 250 * time.Millisecond // an answer that has begun and stops for so long is spoilt
+	mostInterim = 8                      // 1xx answers ahead of one
+	mostLoad    = 1e6                    // a figure beyond is none
+
+	// An idle connection rests before it is used again: what comes behind an
+	// answer must not be taken for the next one.
+	restFor = 5 * time.Millisecond
 )
 
 // upstream keeps the connections to the app servers and carries attempts out.
@@ -33,8 +36,9 @@
 	dial    net.Dialer
 	idleFor time.Duration
 	grace   time.Duration
-	most    int      // connections at once, to all servers
-	fields  []string // of load reports, by the module's order
+	rest    time.Duration // before an idle connection is used again
+	most    int           // connections at once, to all servers
+	fields  []string      // of load reports, by the module's order
 
 	mu      sync.Mutex
 	open    int
@@ -53,15 +57,19 @@
 // upConn is a connection to an app server.
 type upConn struct {
 	net.Conn
-	br   *bufio.Reader
+	in   stream
+	head head
 	used time.Duration
-	err  error // of the last read: the parser's own errors don't tell a time-out
 }
 
+// Read gives up an answer that has begun and stops.
 func (c *upConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.err = err
-	return n, err
+	if len(c.in.buf) > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(answerStall)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(b)
 }
 
 // attempt is one sending of a request to an app server.
@@ -167,10 +175,14 @@
 	if s == nil || s.state == policy.Removed {
 		return nil, "", false
 	}
-	for len(s.idle) > 0 {
-		c := s.idle[len(s.idle)-1]
-		s.idle = s.idle[:len(s.idle)-1]
-		if u.clock.now()-c.used < u.idleFor && alive(c) {
+	now := u.clock.now()
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		c := s.idle[i]
+		if now-c.used < u.rest {
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
+		if now-c.used < u.idleFor && alive(c) {
 			return c, "", true
 		}
 		c.Close()
@@ -245,7 +257,7 @@
 // alive tells whether nothing has come on an idle connection: neither its end
 // nor bytes that nobody asked for.
 func alive(c *upConn) bool {
-	return c.br.Buffered() == 0 && peek(c.Conn) == peekQuiet
+	return c.in.buffered() == 0 && peek(c.Conn) == peekQuiet
 }
 
 // What stands in a connection's receive buffer.
@@ -287,13 +299,16 @@
 
 // result is how an attempt ended.
 type result struct {
-	code policy.Code
-	load []float64
+	code        policy.Code
+	load        []float64
+	unfit       bool   // the app server says that the request is at fault
+	contentType string // of a served answer
+	body        string
 }
 
-// do carries an attempt out and leaves a whole 200 in resp. The connection of
-// one that did not come to its end is closed before do returns.
-func (u *upstream) do(a *attempt, req *fasthttp.Request, resp *fasthttp.Response) result {
+// do carries an attempt out. The connection of one that did not come to its end
+// is closed before do returns.
+func (u *upstream) do(a *attempt, req *clientRequest) result {
 	c, addr, ok := u.take(a.server)
 	if !ok {
 		return result{code: policy.ConnectFailed}
@@ -305,7 +320,7 @@
 			return result{code: policy.ConnectFailed}
 		}
 		c = &upConn{Conn: conn}
-		c.br = bufio.NewReaderSize(c, 4096)
+		c.in.src = c
 	}
 	now := u.clock.now()
 	switch {
@@ -316,7 +331,7 @@
 		u.discard(c)
 		return result{code: policy.ConnectFailed}
 	}
-	r, reuse := u.exchange(a, c, req, resp, a.deadline-now)
+	r, reuse := u.exchange(a, c, req, a.deadline-now)
 	if !a.hold(nil) { // cancelled: its connection is closed already
 		reuse = false
 		if r.code == policy.Reset || r.code == policy.TimedOut {
@@ -347,8 +362,7 @@
 // exchange writes the request in one call and reads the answer. The number of
 // bytes written decides: before the last one the request can't have run, after
 // it may have.
-func (u *upstream) exchange(a *attempt, c *upConn, req *fasthttp.Request, resp *fasthttp.Response,
-	left time.Duration) (result, bool) {
+func (u *upstream) exchange(a *attempt, c *upConn, req *clientRequest, left time.Duration) (result, bool) {
 	if c.SetDeadline(u.clock.time(a.deadline)) != nil {
 		return result{code: policy.ConnectFailed}, false
 	}
@@ -356,68 +370,80 @@
 	b := appendRequest((*msg)[:0], req, left)
 	n, err := c.Write(b)
 	whole := n == len(b)
-	*msg = b
-	buffers.Put(msg)
+	if *msg = b; cap(b) <= 4*leastBuf {
+		buffers.Put(msg)
+	}
 	if !whole {
 		return result{code: policy.ConnectFailed}, false
 	}
-	framed := false
+	var r result
+	status, body, framed := 0, []byte(nil), false
 	if err == nil {
-		framed, err = readAnswer(c.br, resp)
+		status, body, framed, err = c.answer()
 	}
 	if err != nil {
-		if errors.Is(c.err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
 			return result{code: policy.TimedOut}, false
 		}
 		return result{code: policy.Reset}, false
 	}
-	r := result{code: policy.Error, load: u.load(resp.Header.Peek("X-Load"))}
-	status := resp.StatusCode()
+	r.code, r.load = policy.Error, u.load(&c.head)
 	switch {
-	case status == fasthttp.StatusOK && !framed:
+	case status == 200 && !framed:
 		r.code = policy.Reset // its end can't be told from a break
-	case status == fasthttp.StatusOK:
-		r.code = policy.OK
-	case (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout) &&
-		string(resp.Header.Peek("X-Not-Run")) == "1":
+	case status == 200:
+		r.code, r.contentType, r.body = policy.OK, string(c.head.get("Content-Type")), string(body)
+	case (status == 503 || status == 504) && string(c.head.get("X-Not-Run")) == "1":
 		r.code = policy.Full
+	case status/100 == 4:
+		r.code, r.unfit = policy.Moot, true
 	}
-	return r, framed && !resp.ConnectionClose() && c.br.Buffered() == 0
+	// What comes behind an answer belongs to none.
+	reuse := framed && c.in.buffered() == 0 && !c.head.has("Connection", "close")
+	c.in.begin()
+	return r, reuse
 }
 
-// readAnswer reads an answer. One that only the end of the connection would
-// end is not framed, and its body is left unread.
-func readAnswer(br *bufio.Reader, resp *fasthttp.Response) (framed bool, err error) {
-	for {
-		if err := resp.Header.Read(br); err != nil {
-			return false, err
+// answer reads an answer. One that only the end of the connection would end is
+// not framed, and its body is left unread.
+func (c *upConn) answer() (status int, body []byte, framed bool, err error) {
+	for range mostInterim + 1 {
+		if err = c.in.readHead(&c.head, answerStart); err != nil {
+			return 0, nil, false, err
 		}
-		if s := resp.StatusCode(); s >= fasthttp.StatusOK || s == fasthttp.StatusSwitchingProtocols {
-			break // others only announce the answer
+		code := c.head.first[len(answerStart):]
+		status, n := decimal(code[:min(3, len(code))])
+		switch {
+		case n != 3 || status < 100 || status > 599 || len(code) > 3 && code[3] != ' ':
+			return 0, nil, false, errSyntax
+		case status == 101 || status < 200 && c.head.length != -2:
+			return 0, nil, false, errFraming
+		case status < 200:
+			c.in.begin() // it only announces the answer, which may take its time
+			continue
+		case status == 204 || status == 304:
+			return status, nil, true, nil
+		case c.head.length == -2:
+			return status, nil, false, nil
 		}
+		body, err = c.in.readBody(&c.head)
+		return status, body, true, err
 	}
-	length := resp.Header.ContentLength()
-	if length == identity {
-		return false, nil
-	}
-	if err := resp.ReadBody(br, mostAnswer); err != nil || length >= 0 {
-		return true, err
-	}
-	return true, resp.Header.ReadTrailer(br)
+	return 0, nil, false, errSyntax
 }
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
 
+var passedOn = []string{"Host", "X-Request-Id", "Idempotency-Key", "X-Class", "Content-Type"}
+
 // appendRequest writes what goes on to an app server.
-func appendRequest(b []byte, req *fasthttp.Request, left time.Duration) []byte {
-	h := &req.Header
-	b = append(b, h.Method()...)
+func appendRequest(b []byte, req *clientRequest, left time.Duration) []byte {
+	b = append(b, req.method...)
 	b = append(b, ' ')
-	b = append(b, h.RequestURI()...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, h.Host()...)
-	for _, key := range []string{"X-Request-Id", "Idempotency-Key", "X-Class", "Content-Type"} {
-		if v := h.Peek(key); len(v) > 0 {
+	b = append(b, req.target...)
+	b = append(b, " HTTP/1.1"...)
+	for _, key := range passedOn {
+		if v := req.get(key); len(v) > 0 {
 			b = append(b, "\r\n"...)
 			b = append(b, key...)
 			b = append(b, ": "...)
@@ -426,13 +452,12 @@
 	}
 	b = append(b, "\r\nX-Deadline-Ms: "...)
 	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
-	body := req.Body()
-	if len(body) > 0 || !h.IsGet() {
+	if string(req.method) != "GET" {
 		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, int64(len(body)), 10)
+		b = strconv.AppendInt(b, int64(len(req.body)), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
-	return append(b, body...)
+	return append(b, req.body...)
 }
 
 // loadNames gives the names in a load report for the settings' own, where
@@ -441,21 +466,22 @@
 	"rps": "qps", "err_rps": "eps"}
 
 // load reads a load report: a word, then name=value pairs. One that lacks a
-// field, or can't be read, counts for nothing.
-func (u *upstream) load(text []byte) []float64 {
-	if len(text) == 0 || len(u.fields) == 0 {
+// field, or can't be meant, counts for nothing.
+func (u *upstream) load(h *head) []float64 {
+	text, n := h.one("X-Load")
+	if n != 1 || len(u.fields) == 0 {
 		return nil
 	}
 	out, found := make([]float64, len(u.fields)), 0
 	_, rest, _ := strings.Cut(string(text), " ")
 	for pair := range strings.SplitSeq(rest, ",") {
-		k, v, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		k, v, _ := strings.Cut(strings.Trim(pair, " \t"), "=")
 		i := slices.IndexFunc(u.fields, func(f string) bool { return f == k || loadNames[f] == k })
 		if i < 0 {
 			continue
 		}
 		x, err := strconv.ParseFloat(v, 64)
-		if err != nil {
+		if err != nil || !(x >= 0 && x <= mostLoad) { // NaN is neither
 			return nil
 		}
 		out[i] = x
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -5,12 +5,11 @@
 	"net"
 	"net/http"
 	"reflect"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -26,12 +25,13 @@
 	now := u.clock.now()
 	a := &attempt{id: 7, server: 1, sent: now, deadline: now + deadline, writeBy: now + deadline}
 	return a, func() (result, string) {
-		var req fasthttp.Request
-		var resp fasthttp.Response
-		req.SetRequestURI("http://app.svc/lookup?q=1")
-		req.Header.Set("X-Request-Id", "9b1f03aa5c7e2d41")
-		r := u.do(a, &req, &resp)
-		return r, string(resp.Body())
+		in := clientConn{in: stream{src: strings.NewReader("GET /lookup?q=1 HTTP/1.1\r\nHost: app.svc\r\n" +
+			"X-Request-Id: 9b1f03aa5c7e2d41\r\n\r\n")}}
+		if err := in.read(); err != nil {
+			panic(err)
+		}
+		r := u.do(a, &in.req)
+		return r, r.body
 	}
 }
 
@@ -44,6 +44,12 @@
 			return false
 		}
 	}
+	stays := func(text string) func(net.Conn, *http.Request, string) bool {
+		return func(c net.Conn, _ *http.Request, _ string) bool {
+			_, _ = c.Write([]byte(text))
+			return true
+		}
+	}
 	for name, c := range map[string]struct {
 		do   func(net.Conn, *http.Request, string) bool
 		want policy.Code
@@ -67,11 +73,34 @@
 		"break in chunks":  {raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n"), policy.Reset, false},
 		"no end told":      {raw("HTTP/1.1 200 OK\r\n\r\nhits"), policy.Reset, false},
 		"not HTTP":         {raw("hello\r\n\r\n"), policy.Reset, false},
+		// Spoilt answers, on connections that stay open: the deadline must not be waited for.
+		"noise":            {stays("\x88\xdb\xce@>4"), policy.Reset, false},
+		"no number":        {stays("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nhits"), policy.Reset, false},
+		"words swapped":    {stays("HTTP/1.1 OK 200\r\nContent-Length: 4\r\n\r\nhits"), policy.Reset, false},
+		"long number":      {stays("HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nhits"), policy.Reset, false},
+		"another protocol": {stays("ICY 200 OK\r\nContent-Length: 4\r\n\r\nhits"), policy.Reset, false},
+		"no colon":         {stays("HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 4\r\n\r\nhits"), policy.Reset, false},
+		"endless head":     {stays("HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: p\r\n", 4<<10)), policy.Reset, false},
+		"two lengths":      {stays("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nhits"), policy.Reset, false},
+		"negative length":  {stays("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nhits"), policy.Reset, false},
+		"3 GB":             {stays("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhits"), policy.Reset, false},
+		"length in chunks": {stays("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nhits\r\n0\r\n\r\n"), policy.Reset, false},
+		"bad chunk":        {stays("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\nabcde\r\n0\r\n\r\n"), policy.Reset, false},
+		"shorter":          {stays("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhits"), policy.Reset, false},
+		"half a head":      {stays("HTTP/1.1 200 OK\r\nContent-Le"), policy.Reset, false},
+		"only 1xx":         {stays(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1000)), policy.Reset, false},
+		"switched":         {stays("HTTP/1.1 101 Switching\r\n\r\n"), policy.Reset, false},
+		// Good answers that bring more than belongs to them.
+		"1xx ahead":         {stays("HTTP/1.1 103 Early\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhits"), policy.OK, true},
+		"a copy behind":     {stays(strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhits", 2)), policy.OK, false},
+		"noise behind":      {stays("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhits\x88\xdb"), policy.OK, false},
+		"unreadable report": {stays("HTTP/1.1 200 OK\r\nX-Load: \xff=,NaN\r\nContent-Length: 4\r\n\r\nhits"), policy.OK, true},
+		"unfit request":     {answer("400 No", "", ""), policy.Moot, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := newApp(t, c.do)
 			u := pool(a.addr())
-			_, do := u.try(patience)
+			_, do := u.try(time.Minute)
 			r, body := do()
 			if r.code != c.want || r.code == policy.OK && body != "hits" {
 				t.Errorf("code %d, body %q, want code %d", r.code, body, c.want)
@@ -177,6 +206,36 @@
 	}
 }
 
+// A second copy of an answer may come when its connection is idle again: it
+// must never be taken for the answer to the next request.
+func TestLateCopy(t *testing.T) {
+	copied := make(chan struct{})
+	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+		answer("200 OK", "", "hits")(c, r, b)
+		<-copied
+		return answer("200 OK", "", "copy")(c, r, b)
+	})
+	u := pool(a.addr())
+	u.rest = time.Hour
+	for i := range 2 {
+		_, do := u.try(patience)
+		if r, body := do(); r.code != policy.OK || body != "hits" || int(a.conns.Load()) != i+1 {
+			t.Errorf("code %d, %q, %d connections: an idle one did not rest", r.code, body, a.conns.Load())
+		}
+	}
+	close(copied)
+	u.rest = 0
+	eventually(t, "the copies", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return !alive(u.servers[1].idle[0]) && !alive(u.servers[1].idle[1])
+	})
+	_, do := u.try(patience)
+	if _, body := do(); body != "hits" || a.conns.Load() != 3 {
+		t.Errorf("%q, %d connections", body, a.conns.Load())
+	}
+}
+
 // An idle connection outlives the deadline of the attempt before: taken for
 // dead, most connections would be dialled anew, at the app server's cost.
 func TestReusesAfterTheDeadlineBefore(t *testing.T) {
@@ -272,6 +331,10 @@
 func TestLoadReport(t *testing.T) {
 	u := pool("127.0.0.1:1")
 	for text, want := range map[string][]float64{
+		"TEXT util=NaN, qps=1":              nil,
+		"TEXT util=0.61, qps=+Inf":          nil,
+		"TEXT util=-0.61, qps=140":          nil,
+		"TEXT util=0.61, qps=1e300":         nil,
 		"TEXT util=0.61, qps=140":           {0.61, 140},
 		"TEXT rps=140,inflight=3,cpu=0.61":  {0.61, 140},
 		"TEXT util=0.61":                    nil,
@@ -280,7 +343,7 @@
 		"TEXT":                              nil,
 		fmt.Sprintf("TEXT %0300d=,,,=,", 1): nil,
 	} {
-		if got := u.load([]byte(text)); !reflect.DeepEqual(got, want) {
+		if got := u.load(&head{fields: []field{{[]byte("X-Load"), []byte(text)}}}); !reflect.DeepEqual(got, want) {
 			t.Errorf("%q: %v, want %v", text, got, want)
 		}
 	}
