Forget customers and app servers that are gone; count the fleet rightly

Removed servers also counted in size (their weight is not told) and in the cold budget's divisor.

Now a customer goes once a fresh start comes to the same: store and ceiling full, nothing out, held or leased, no peer heard of it for 10 s. Its total begins anew then, so an entry says that it does (the highest bit of the rate; report version 5): peers take the new units off and give none of the old back. A peer just met is told of the store, and its word is heeded: before, a customer met first at another gateway had a full store here.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -50,7 +50,7 @@
 	addr  string
 	boot  float64
 	state policy.State
-	since time.Duration // when this edge node heard that it drains or is gone
+	since time.Duration // when this edge node heard that it drains
 	idle  []*upConn
 }
 
@@ -129,11 +129,12 @@
 		}
 		u.become(s, targetStates[t.State], now)
 	}
-	if whole {
-		for id, s := range u.servers {
-			if !listed[id] {
-				u.become(s, policy.Removed, now)
-			}
+	// What is gone is forgotten: an attempt that is out has its connection, and
+	// nothing new finds a way there.
+	for id, s := range u.servers {
+		if s.state == policy.Removed || whole && !listed[id] {
+			u.dropIdle(s)
+			delete(u.servers, id)
 		}
 	}
 }
@@ -143,9 +144,6 @@
 		s.since = now
 	}
 	s.state = state
-	if state == policy.Removed {
-		u.dropIdle(s)
-	}
 }
 
 func (u *upstream) dropIdle(s *appServer) {
@@ -172,7 +170,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
-	if s == nil || s.state == policy.Removed {
+	if s == nil {
 		return nil, "", false
 	}
 	now := u.clock.now()
@@ -228,7 +226,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
-	if s == nil || s.state == policy.Removed || s.addr != c.RemoteAddr().String() {
+	if s == nil || s.addr != c.RemoteAddr().String() {
 		c.Close()
 		u.open--
 		return
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -53,7 +53,7 @@
 	}
 	if ev.Kind != Changes {
 		for _, s := range g.fleet {
-			s.State = Removed
+			s.leave(g.now)
 		}
 	}
 	for _, m := range ev.Servers {
@@ -68,12 +68,14 @@
 			s.slow, s.pace = 1, 1
 			clear(s.by)
 		}
-		s.Server = m
-	}
-	g.size = 0
-	for _, s := range g.fleet {
-		g.size += s.Weight / float64(len(g.fleet))
+		gone := s.goneAt
+		s.Server, s.goneAt = m, 0
+		if m.State == Removed {
+			s.goneAt = gone
+			s.leave(g.now)
+		}
 	}
+	g.count()
 	slices.SortFunc(g.fleet, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
@@ -202,7 +204,7 @@
 		g.advance(c)
 		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
 			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
-			passed: c.passed, store: unknownStore,
+			passed: c.passed, store: unknownStore, anew: g.now-c.born < anewFor,
 			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
 		if c.known && c.plan.Burst > 0 {
 			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	zonePrice              = 25.0       // service times that a charge of one for another zone is worth
 	queueWeight            = 0.5        // what each attempt out adds to a server's latency, in service times
 	waitAim                = 0.15       // a server is full when the wait passes this part of the shortest aim
-	leastOut               = 2.0        // but not below this many attempts out
+	leastOut               = 2.5        // but not below this many attempts out
 	retryReserve           = 0.7        // part of the store that clients' repeats leave to first tries
 	pressedFor             = 200 * time.Millisecond
 	holdAim                = 0.5              // a request is held for this part of its aim
@@ -44,9 +44,9 @@
 	learn, learnMean       = 0.1, 0.03        // weight of an outcome in a server's pace, in a class's latency
 	slowSpan               = 10 * time.Second // an old judgement wears off in this time
 	fullFor                = 2 * time.Second
-	idleAfter              = 10 * time.Minute // a customer not seen for so long is forgotten
-	retryEarn, retryCap    = 0.15, 12.0       // retry budget earned by each first attempt, most kept
-	coldSafety             = 0.5              // part of the cold budget used
+	anewFor                = 2 * time.Second // a total that begins at nothing is told as such
+	retryEarn, retryCap    = 0.15, 12.0      // retry budget earned by each first attempt, most kept
+	coldSafety             = 0.5             // part of the cold budget used
 
 	leastLate               = 0.1       // an attempt is overdue after this part of its aim at the soonest,
 	overdue                 = 4.0       // when so many times as old as predicted
@@ -119,7 +119,8 @@
 func (g *Gateway) account(key uint64, plan *quota, first, spread int) *customer {
 	spread = max(1, min(spread, g.set.Gateways))
 	c := &customer{key: key, hash: shortOf(key), plan: plan, n: float64(spread), store: plan.Burst,
-		part: 1, leases: map[lease]leased{}, first: first, spread: spread, at: g.now, areaAt: g.now}
+		part: 1, leases: map[lease]leased{}, first: first, spread: spread, at: g.now, areaAt: g.now,
+		born: g.now}
 	roots, deputy := g.roots(c)
 	if slices.Contains(roots, g.set.Me) || !g.tree {
 		g.views(c, roots)
@@ -498,7 +499,7 @@
 		// A budget for every window, shared by all gateways: what warm servers
 		// bear, times the share of capacity the server surely has.
 		s.sends = slices.DeleteFunc(s.sends, func(t time.Duration) bool { return g.now-t > g.set.FallTime })
-		warm := g.sendRate / max(1, float64(len(g.fleet)))
+		warm := g.sendRate / max(1, float64(g.live))
 		if float64(len(s.sends)) >= max(1, warm*cold*g.set.FallMultiple*coldSafety) {
 			return false
 		}
@@ -647,7 +648,7 @@
 	g.do(SetTimer{Token: "tick", After: g.tick})
 	if g.ticks%uint32(max(1, time.Second/g.tick)) == 0 {
 		g.watch()
-		g.forget(g.now - idleAfter)
+		g.forget()
 	}
 	if g.set.FallTime > 0 {
 		g.sendRate *= math.Exp(-float64(dt) / float64(g.set.FallTime))
@@ -714,19 +715,19 @@
 	}
 	g.advance(c)
 	v := c.set[i]
-	v.read(e, g.now)
-	if v.heard && v.inc != p.inc {
-		v.passed = 0
-	}
-	if v.heard {
+	known := v.heard
+	met := v.read(e, p.inc, g.now)
+	if known || e.anew {
 		d := float64(int16(e.passed - v.passed)) // settled units may take it back
 		c.store = min(c.plan.Burst, max(0, c.store-d))
 	}
-	v.heard, v.inc, v.passed = true, p.inc, e.passed
-	if !c.known && e.store != unknownStore {
-		c.known = true
+	// One just met has used it, or knows who has: it is told once what the store
+	// is here. Guards against a store that is full at one gateway only.
+	if (met || !c.known) && e.store != unknownStore {
+		c.known, c.fresh = true, max(c.fresh, 1)
 		c.store = min(c.store, float64(e.store)/250*c.plan.Burst)
 	}
+	v.passed = e.passed
 }
 
 // Asking the roots of a customer: where its counts are not here, a request
--- a/policy/report.go
+++ b/policy/report.go
@@ -40,12 +40,14 @@
 	held   byte   // up to maxHeld
 	passed uint16 // running total of units passed
 	rate   byte   // units asked for a second: rateScale * log2(1 + rate), up to maxRate
+	anew   bool   // the total began at nothing a moment ago: the highest bit of the rate
 	store  byte   // estimate of the store, 250 full
 }
 
 const (
-	reportVersion = 4
+	reportVersion = 5
 	flagComplete  = 1
+	flagAnew      = 0x80
 	maxRate       = 0x7f
 	maxHeld       = 15
 	maxOut        = 31
@@ -82,7 +84,11 @@
 	for _, e := range m.customers {
 		b = append(b, byte(e.hash>>16), byte(e.hash>>8), byte(e.hash), e.out<<4|e.held)
 		b = binary.BigEndian.AppendUint16(b, e.passed)
-		b = append(b, e.rate, e.store)
+		rate := e.rate
+		if e.anew {
+			rate |= flagAnew
+		}
+		b = append(b, rate, e.store)
 	}
 	return b
 }
@@ -109,15 +115,21 @@
 			return m, false
 		}
 		e := entry{hash: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]), out: b[3] >> 4, held: b[3] & maxHeld,
-			passed: binary.BigEndian.Uint16(b[4:]), rate: b[6] & maxRate, store: b[7]}
+			passed: binary.BigEndian.Uint16(b[4:]), rate: b[6] & maxRate, anew: b[6]&flagAnew != 0, store: b[7]}
 		b = b[entrySize:]
 		m.customers = append(m.customers, e)
 	}
 	return m, true
 }
 
-// read takes over an entry's figures.
-func (v *peerView) read(e entry, now time.Duration) {
+// read takes over an entry's figures, but for the total. It tells whether the
+// sender's total began at nothing, or was not known: then it counts from there.
+func (v *peerView) read(e entry, inc uint32, now time.Duration) (met bool) {
+	if met = !v.heard || v.inc != inc || e.anew && now-v.at > anewFor; met {
+		v.passed = 0
+	}
+	v.heard, v.inc = true, inc
 	v.at, v.rate = now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
 	v.out, v.held = math.Pow(float64(e.out)/outScale, 2), float64(e.held)
+	return met
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -22,6 +22,7 @@
 	n      float64          // its gateways, this one included
 	held   []*request       // waiting, in arrival order
 	out    int
+	born   time.Duration // when its counts began
 	seen   time.Duration // its last request
 	area   float64       // integral of out over the tick, for its mean
 	areaAt time.Duration
@@ -144,6 +145,7 @@
 	slow   float64                  // latency against the fleet's, at equal load
 	heard  float64                  // attempts out there, as the peers last said
 	oldest []*request               // attempts out, oldest first
+	goneAt time.Duration            // when it left the list; 0: it is there
 	fullAt map[*quota]time.Duration // until then it is taken to turn this plan away
 	sends  []time.Duration          // while cold: recent sends
 
@@ -185,6 +187,7 @@
 	acts      []Action
 	asked     bool
 	size      float64 // mean weight in the list
+	live      int     // servers in the list that run
 	mean      float64 // seconds an idle server takes, over all classes
 	minAim    float64 // the shortest aim, in seconds
 	heard     float64 // share of asks that are answered
@@ -398,25 +401,88 @@
 	}
 }
 
-// forget drops the customers that have nothing out or held and made no
-// request since a time.
-func (g *Gateway) forget(since time.Duration) {
-	g.ring = slices.DeleteFunc(g.ring, func(c *customer) bool {
-		if c.seen >= since || c.out > 0 || len(c.held) > 0 {
+// leave notes that a server is in the list no longer.
+func (s *server) leave(now time.Duration) {
+	s.State = Removed
+	if s.goneAt == 0 {
+		s.goneAt = now
+	}
+}
+
+// count takes the size of the fleet from the servers that are in the list.
+func (g *Gateway) count() {
+	listed, sum := 0, 0.0
+	g.live = 0
+	for _, s := range g.fleet {
+		if s.State != Removed {
+			listed++
+			sum += s.Weight
+		}
+		if s.State == Running {
+			g.live++
+		}
+	}
+	g.size = sum / float64(max(1, listed))
+}
+
+// forget drops the servers that are gone for good and the customers for whom a
+// fresh start would come to the same.
+func (g *Gateway) forget() {
+	g.fleet = slices.DeleteFunc(g.fleet, func(s *server) bool {
+		if s.State != Removed || s.out > 0 || g.now-s.goneAt < forgetAfter {
 			return false
 		}
-		if g.byHash[c.hash] == c {
-			delete(g.byHash, c.hash)
+		delete(g.servers, s.ID)
+		return true
+	})
+	g.ring = slices.DeleteFunc(g.ring, func(c *customer) bool {
+		if !g.spent(c) {
+			return false
 		}
+		delete(g.customers, c.key)
 		for _, v := range c.set {
 			v.p.views = slices.DeleteFunc(v.p.views, func(o *peerView) bool { return o == v })
 		}
+		g.unname(c)
 		return true
 	})
-	if len(g.ring) < len(g.customers) {
-		clear(g.customers)
-		for _, c := range g.ring {
-			g.customers[c.key] = c
+}
+
+// spent tells whether nothing is left of a customer: its store and its ceiling
+// are full again, nobody has anything out or held, and nothing is left to tell.
+func (g *Gateway) spent(c *customer) bool {
+	if c.out > 0 || len(c.held) > 0 || len(c.leases) > 0 || c.news() || c.area > 0 ||
+		g.now-c.seen < forgetAfter {
+		return false
+	}
+	for _, v := range c.set {
+		if v.out > 0 || v.held > 0 || v.heard && g.now-v.at < forgetAfter {
+			return false
+		}
+	}
+	g.advance(c)
+	return (c.plan.Rate == 0 || c.store >= c.plan.Burst) && (c.plan.HardRate == 0 || c.ceiling >= c.plan.HardBurst/c.n)
+}
+
+// unname takes a customer's short hash out; another of the same hash has it for
+// itself then.
+func (g *Gateway) unname(c *customer) {
+	if g.byHash[c.hash] == c {
+		delete(g.byHash, c.hash)
+		return
+	}
+	delete(g.byHash, c.hash)
+	var other *customer
+	n := 0
+	for _, o := range g.customers {
+		if o.hash == c.hash {
+			other, n = o, n+1
 		}
 	}
+	switch {
+	case n == 1:
+		g.byHash[c.hash] = other
+	case n > 1:
+		g.byHash[c.hash] = nil
+	}
 }
