Lend ceilings between gateways; advise retries by the store; pace useless requests

Cause: account() and advance() give each gateway an even, fixed part of the ceiling's rate and burst, so what comes in unevenly is held to 1/n of 1.7 to 2.4 times the quota at its busiest gateway. A test with all demand at one of two gateways passed 5.8 of 10 units a second.

Now a gateway lends peers what it does not need itself and they ask for beyond their part: running totals in the reports (report version 6; passed is told in one byte), taken off before they are told, not filled again before they arrive, never more than an even part held: lost or late words cost, never grant. TestCeilingIsLent checks rate and ceiling with mail late and lost.

Retry-After was always the settings' 2 s, later than a lookup's whole deadline. It is now when the store will hold what a repeat needs (gateway.go, advice); TestAdviceFollowsTheStore. Repeats leave 0.3 of the store to first tries instead of 0.7, and requests are held for 0.35 of their aim instead of 0.5. Tried and dropped: reserve 0.1 and 0.5, a report's way 50 ms, changes told twice, queueWeight 0.4 and 0.6, leastOut 3.2, waitAim 0.12 and 0.18, advice by the local part of the rate, advice at its most while servers lack.

Accepted connections set no keep-alive: four system calls less each.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,8 @@
 		}
 		n.loop.tell = n.peers.tell
 	}
-	if n.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+	lc := net.ListenConfig{KeepAlive: -1} // time-outs of our own are shorter: four system calls saved at each accept
+	if n.listener, err = lc.Listen(context.Background(), "tcp", cfg.Listen); err != nil {
 		n.closePeers()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -20,7 +20,8 @@
 	clientIdle   = 10 * time.Second // between requests
 	writeTimeout = 5 * time.Second
 	acceptPause  = 5 * time.Millisecond
-	mostBad      = 3 // requests in a row that can't be used, then the connection is closed
+	mostBad      = 3                      // requests in a row that can't be used, then the connection is closed
+	badPause     = 100 * time.Millisecond // before the next is read: one client must not take the core from others
 
 	lingerFor  = 500 * time.Millisecond // a client that still sends is given so long to read why not
 	lingerMost = 256 << 10              // bytes
@@ -372,11 +373,13 @@
 	return s.answer(cc, status, fields, body) == nil && !over
 }
 
-// bad answers a request that can't be used. A client that sends nothing else is
-// let go.
+// bad answers a request that can't be used, at once; the next one waits. A
+// client that sends nothing else is let go.
 func (s *server) bad(cc *clientConn, status int, why string) bool {
 	if cc.bad++; cc.bad < mostBad {
-		return s.reply(cc, status, "", why)
+		on := s.reply(cc, status, "", why)
+		time.Sleep(badPause)
+		return on
 	}
 	s.turnAway(cc, status, errors.New(why))
 	return false
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -204,7 +204,7 @@
 		g.advance(c)
 		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
 			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
-			passed: c.passed, store: unknownStore, anew: g.now-c.born < anewFor,
+			passed: byte(c.passed), given: c.set[i].gave, store: unknownStore, anew: g.now-c.born < anewFor,
 			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
 		if c.known && c.plan.Burst > 0 {
 			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
@@ -266,6 +266,48 @@
 	}
 }
 
+// lend gives peers of the ceiling's part here what this gateway does not need
+// and they ask for beyond their own. What is lent is off here before it is on
+// there, a part never holds more than its even share, and what is lost on the
+// way is lost: all parts together stay under the ceiling.
+func (g *Gateway) lend(c *customer, dt time.Duration) {
+	if c.plan.HardRate == 0 || len(c.set) == 0 || g.tree {
+		return
+	}
+	g.advance(c)
+	if c.lent *= math.Exp(-dt.Seconds() / lendSpan.Seconds()); c.lent < 1/lendScale/16 {
+		c.lent = 0
+	}
+	part, want := c.plan.HardRate/c.n, 0.0
+	for _, v := range c.set {
+		v.want = 0
+		if !g.silent(v.p) {
+			v.want = max(0, v.rate/demandSpan.Seconds()-part) * dt.Seconds() * lendMost
+		}
+		want += v.want
+	}
+	spare := c.ceiling - g.set.LargestUnits - c.rate/demandSpan.Seconds()*lendAhead.Seconds()
+	for _, v := range c.set {
+		n := min(lendScale*30, math.Floor(lendScale*v.want*min(1, max(0, spare)/max(want, 1e-9))))
+		v.gave += byte(n)
+		c.ceiling, c.lent = c.ceiling-n/lendScale, c.lent+n/lendScale
+		if n > 0 {
+			c.fresh = max(c.fresh, 1)
+		}
+	}
+}
+
+// advice is when a retry may find room: once the store will have filled up to
+// what a repeat needs, and no sooner than the next ticks.
+func (g *Gateway) advice(r *request) time.Duration {
+	c, wait := r.c, 2*g.tick.Seconds()
+	if c.plan.Rate > 0 {
+		need := r.units + retryReserve*c.plan.Burst - g.allowance(c)
+		wait = max(wait, need/c.plan.Rate)
+	}
+	return min(g.set.MaxRetryAfter, time.Duration(wait*float64(time.Second)))
+}
+
 func (g *Gateway) sight(s *server, cl *class, code Code, latency time.Duration) {
 	if cl.Name == "" {
 		return // not in the settings
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,9 +37,9 @@
 	queueWeight            = 0.5        // what each attempt out adds to a server's latency, in service times
 	waitAim                = 0.15       // a server is full when the wait passes this part of the shortest aim
 	leastOut               = 2.5        // but not below this many attempts out
-	retryReserve           = 0.7        // part of the store that clients' repeats leave to first tries
+	retryReserve           = 0.3        // part of the store that clients' repeats leave to first tries
 	pressedFor             = 200 * time.Millisecond
-	holdAim                = 0.5              // a request is held for this part of its aim
+	holdAim                = 0.35             // a request is held for this part of its aim
 	firstGuess             = 8.0              // a request's first guessed latency is its aim over this
 	learn, learnMean       = 0.1, 0.03        // weight of an outcome in a server's pace, in a class's latency
 	slowSpan               = 10 * time.Second // an old judgement wears off in this time
@@ -84,6 +84,10 @@
 	verdictKeep  = 2.0                   // verdicts a watcher may send at once
 	verdictLife  = 8 * time.Second       // a verdict not told again lapses
 	otherZone    = 0.7                   // weight of a server in another zone
+
+	lendSpan  = 300 * time.Millisecond // what is lent of a ceiling arrives in this time
+	lendAhead = 500 * time.Millisecond // own demand that is not lent
+	lendMost  = 2.0                    // of what a peer asks for beyond its part
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -187,7 +191,7 @@
 		share = 1 / float64(c.spread) // what others pass is the root's to know
 	}
 	c.store = min(c.plan.Burst, c.store+c.plan.Rate*dt*share)
-	c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+c.plan.HardRate/c.n*dt)
+	c.ceiling = max(c.ceiling, min(c.plan.HardBurst/c.n-c.lent, c.ceiling+c.plan.HardRate/c.n*dt))
 	k := math.Exp(-dt / demandSpan.Seconds())
 	c.rate *= k
 	for _, v := range c.set {
@@ -387,7 +391,7 @@
 	} else if r.ran && r.cl.Effect != Safe && !(r.cl.Effect == Keyed && r.cl.Group == GroupAll) {
 		g.do(Fail{ID: r.id})
 	} else {
-		g.do(Refuse{ID: r.id, RetryAfter: g.set.MaxRetryAfter})
+		g.do(Refuse{ID: r.id, RetryAfter: g.advice(r)})
 	}
 	g.close(r)
 }
@@ -715,19 +719,15 @@
 	}
 	g.advance(c)
 	v := c.set[i]
-	known := v.heard
-	met := v.read(e, p.inc, g.now)
-	if known || e.anew {
-		d := float64(int16(e.passed - v.passed)) // settled units may take it back
-		c.store = min(c.plan.Burst, max(0, c.store-d))
-	}
+	passed, lent, met := v.read(e, p.inc, g.now)
+	c.store = min(c.plan.Burst, max(0, c.store-passed))
+	c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+lent)
 	// One just met has used it, or knows who has: it is told once what the store
 	// is here. Guards against a store that is full at one gateway only.
 	if (met || !c.known) && e.store != unknownStore {
 		c.known, c.fresh = true, max(c.fresh, 1)
 		c.store = min(c.store, float64(e.store)/250*c.plan.Burst)
 	}
-	v.passed = e.passed
 }
 
 // Asking the roots of a customer: where its counts are not here, a request
--- a/policy/report.go
+++ b/policy/report.go
@@ -38,14 +38,15 @@
 	hash   uint32 // 24 bits
 	out    byte   // mean attempts out over the tick: outScale times its root, up to 15
 	held   byte   // up to maxHeld
-	passed uint16 // running total of units passed
+	passed byte   // running total of units passed, its lowest bits
+	given  byte   // running total of what was lent to this peer of the ceiling: lendScale a unit
 	rate   byte   // units asked for a second: rateScale * log2(1 + rate), up to maxRate
 	anew   bool   // the total began at nothing a moment ago: the highest bit of the rate
 	store  byte   // estimate of the store, 250 full
 }
 
 const (
-	reportVersion = 5
+	reportVersion = 6
 	flagComplete  = 1
 	flagAnew      = 0x80
 	maxRate       = 0x7f
@@ -60,6 +61,7 @@
 	serverSize    = 2
 	entrySize     = 8
 	rateScale     = 8
+	lendScale     = 4.0 // parts of a unit in which a ceiling is lent
 )
 
 // fits tells whether one more customer fits in.
@@ -83,7 +85,7 @@
 	}
 	for _, e := range m.customers {
 		b = append(b, byte(e.hash>>16), byte(e.hash>>8), byte(e.hash), e.out<<4|e.held)
-		b = binary.BigEndian.AppendUint16(b, e.passed)
+		b = append(b, e.passed, e.given)
 		rate := e.rate
 		if e.anew {
 			rate |= flagAnew
@@ -115,21 +117,32 @@
 			return m, false
 		}
 		e := entry{hash: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]), out: b[3] >> 4, held: b[3] & maxHeld,
-			passed: binary.BigEndian.Uint16(b[4:]), rate: b[6] & maxRate, anew: b[6]&flagAnew != 0, store: b[7]}
+			passed: b[4], given: b[5], rate: b[6] & maxRate, anew: b[6]&flagAnew != 0, store: b[7]}
 		b = b[entrySize:]
 		m.customers = append(m.customers, e)
 	}
 	return m, true
 }
 
-// read takes over an entry's figures, but for the total. It tells whether the
-// sender's total began at nothing, or was not known: then it counts from there.
-func (v *peerView) read(e entry, inc uint32, now time.Duration) (met bool) {
-	if met = !v.heard || v.inc != inc || e.anew && now-v.at > anewFor; met {
-		v.passed = 0
+// read takes over an entry's figures, and tells what has been passed and lent
+// since the last. It tells too whether the sender's totals were not known, or
+// began at nothing: then what was passed counts from there.
+func (v *peerView) read(e entry, inc uint32, now time.Duration) (passed, lent float64, met bool) {
+	quiet := now-v.at > anewFor
+	if met = !v.heard || v.inc != inc || e.anew && quiet; met {
+		v.passed, v.got = 0, e.given
+		if !v.heard && !e.anew {
+			v.passed = e.passed
+		}
+	}
+	passed = float64(int8(e.passed - v.passed)) // settled units may take it back
+	if quiet {
+		passed = max(0, passed)
+	} else {
+		lent = float64(e.given-v.got) / lendScale
 	}
-	v.heard, v.inc = true, inc
+	v.heard, v.inc, v.passed, v.got = true, inc, e.passed, e.given
 	v.at, v.rate = now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
 	v.out, v.held = math.Pow(float64(e.out)/outScale, 2), float64(e.held)
-	return met
+	return passed, lent, met
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,6 +32,7 @@
 	store     float64       // estimate of the quota's store
 	known     bool          // the estimate rests on more than a fresh start
 	ceiling   float64       // own hard part of the ceiling
+	lent      float64       // of it, a moment ago: not filled again before it has arrived
 	passed    uint16        // running totals of units, told to peers
 	rate      float64       // own asked units, decayed over demandSpan
 	fresh     int           // ticks for which a change is still told
@@ -84,7 +85,10 @@
 	inc    uint32
 	out    float64
 	held   float64
-	passed uint16
+	passed byte
+	gave   byte    // running totals of what was lent of the ceiling, to it
+	got    byte    // and by it
+	want   float64 // what it may be lent now
 	rate   float64 // asked units, decayed
 }
 
@@ -241,12 +245,14 @@
 	return (r.cl.Group != GroupZone || s.Zone == r.ranZone) && (r.cl.Group != GroupCell || s.Cell == r.ranCell)
 }
 
-// measure takes each customer's mean of attempts out over a tick.
+// measure takes each customer's mean of attempts out over a tick, and lends what
+// it does not need of its ceiling.
 func (g *Gateway) measure(dt time.Duration) {
 	for _, c := range g.ring {
 		c.expire(g.now)
 		c.count(g.now, 0)
 		c.mean, c.area = c.area/dt.Seconds(), 0
+		g.lend(c, dt)
 	}
 }
 
