Learn for how long idle connections to app servers can be used again

Probe, logging age and outcome: of connections idle for under 100 ms 2% broke at once with no byte of an answer, from 128 ms on 27%, at every server alike. Cause: upstream.go kept connections for 0.6 of the time in the settings, which bounds theirs from above only ("at the latest").

Ruled out: breaks at work (they come late or with bytes) and a limit of single servers (each showed ages from 100 to 1,100 ms, broken and not).

Now breaks are counted by spans of age; from the first span in which more than a tenth break at once, connections are left; the counts fade, so that it is tried again.

Tests: what counts as too old, and that such a connection is not used again.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -42,6 +42,7 @@
 
 	mu      sync.Mutex
 	open    int
+	ages    idleAges
 	servers map[policy.ServerID]*appServer
 }
 
@@ -173,14 +174,14 @@
 	if s == nil {
 		return nil, "", false
 	}
-	now := u.clock.now()
+	now, most := u.clock.now(), u.ages.most(u.idleFor)
 	for i := len(s.idle) - 1; i >= 0; i-- {
 		c := s.idle[i]
 		if now-c.used < u.rest {
 			continue
 		}
 		s.idle = slices.Delete(s.idle, i, i+1)
-		if now-c.used < u.idleFor && alive(c) {
+		if now-c.used < most && alive(c) {
 			return c, "", true
 		}
 		c.Close()
@@ -239,10 +240,11 @@
 func (u *upstream) sweep() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := u.clock.now()
+	now, most := u.clock.now(), u.ages.most(u.idleFor)
+	u.ages.fade()
 	for _, s := range u.servers {
 		s.idle = slices.DeleteFunc(s.idle, func(c *upConn) bool {
-			if now-c.used < u.idleFor && alive(c) {
+			if now-c.used < most && alive(c) {
 				return false
 			}
 			c.Close()
@@ -330,6 +332,11 @@
 		return result{code: policy.ConnectFailed}
 	}
 	r, reuse := u.exchange(a, c, req, a.deadline-now)
+	if c.used > 0 {
+		u.mu.Lock()
+		u.ages.note(now-c.used, u.clock.now()-now, r.code, len(c.in.buf) > 0)
+		u.mu.Unlock()
+	}
 	if !a.hold(nil) { // cancelled: its connection is closed already
 		reuse = false
 		if r.code == policy.Reset || r.code == policy.TimedOut {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -236,6 +236,68 @@
 	}
 }
 
+// App servers that drop idle connections sooner than they say, unseen until a
+// request is written, cost that request: the age from which they do is learned,
+// and unlearned once they do so no longer.
+func TestLearnsHowLongConnectionsLast(t *testing.T) {
+	var x idleAges
+	for range 40 {
+		x.note(20*time.Millisecond, time.Millisecond, policy.OK, true)
+		x.note(150*time.Millisecond, time.Millisecond, policy.OK, true)
+		x.note(150*time.Millisecond, time.Second, policy.Reset, false) // broke at work
+		x.note(150*time.Millisecond, time.Millisecond, policy.Reset, true)
+	}
+	if got := x.most(time.Minute); got != time.Minute {
+		t.Fatalf("%v while none broke for its age", got)
+	}
+	for range 40 {
+		x.note(150*time.Millisecond, time.Millisecond, policy.Reset, false)
+	}
+	if got := x.most(time.Minute); got != 128*time.Millisecond {
+		t.Fatalf("%v, want 128ms: those of 150ms break", got)
+	}
+	for range 300 {
+		x.fade()
+	}
+	if got := x.most(time.Minute); got != time.Minute {
+		t.Errorf("%v long after the last broke", got)
+	}
+}
+
+// A connection past the age learned is not used again, though it seems alive.
+func TestOldConnectionsAreLeftWhenTheyBreak(t *testing.T) {
+	served := atomic.Int32{}
+	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+		if served.Add(1)%2 == 0 { // the second request on a connection breaks it
+			return false
+		}
+		return answer("200 OK", "", "hits")(c, r, b)
+	})
+	u := pool(a.addr())
+	for range 1000 {
+		_, do := u.try(patience)
+		do()
+		u.mu.Lock()
+		for _, c := range u.servers[1].idle {
+			c.used -= 200 * time.Millisecond // as if it had stood for so long
+		}
+		full := u.ages.most(u.idleFor) < u.idleFor
+		u.mu.Unlock()
+		if full {
+			break
+		}
+	}
+	if u.ages.most(u.idleFor) > 200*time.Millisecond {
+		t.Fatalf("%v learned where those of 200ms break", u.ages.most(u.idleFor))
+	}
+	before := a.conns.Load()
+	_, do := u.try(patience)
+	do()
+	if a.conns.Load() != before+1 {
+		t.Error("an old connection was used again")
+	}
+}
+
 // An idle connection outlives the deadline of the attempt before: taken for
 // dead, most connections would be dialled anew, at the app server's cost.
 func TestReusesAfterTheDeadlineBefore(t *testing.T) {
