End a planned stop although somebody goes on connecting

Cause: drain() in node.go closes the listener only after 0.1 s without any new connection, and polls or floods never leave that. It would be killed with requests open in the end.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 const (
 	stopShutIdle = 250 * time.Millisecond // idle connections are closed while new ones still find an open door
 	stopAccept   = 550 * time.Millisecond
+	stopShut     = time.Second // clients have had their time: what still comes is not waited for
 	stopQuiet    = 100 * time.Millisecond
 	stopReading  = 2 * time.Second // a request that has begun to come by then is given so long
 	stopMost     = 65 * time.Second
@@ -140,7 +141,7 @@
 			n.server.shutIdle(stopQuiet)
 		}
 		open, quiet := n.server.state()
-		if accepting && past >= stopAccept && quiet >= stopQuiet {
+		if accepting && past >= stopAccept && (quiet >= stopQuiet || past >= stopShut) {
 			n.listener.Close()
 			accepting = false
 		}
