--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,7 +24,6 @@
 const (
 	stopShutIdle = 250 * time.Millisecond // idle connections are closed while new ones still find an open door
 	stopAccept   = 550 * time.Millisecond
-	stopShut     = time.Second // clients have had their time: what still comes is not waited for
 	stopQuiet    = 100 * time.Millisecond
 	stopReading  = 2 * time.Second // a request that has begun to come by then is given so long
 	stopMost     = 65 * time.Second
@@ -141,7 +140,7 @@
 			n.server.shutIdle(stopQuiet)
 		}
 		open, quiet := n.server.state()
-		if accepting && past >= stopAccept && (quiet >= stopQuiet || past >= stopShut) {
+		if accepting && past >= stopAccept && quiet >= stopQuiet {
 			n.listener.Close()
 			accepting = false
 		}
