--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/internal/wire"
+	"pepperfall.example/pepperfall/policy"
 )
 
 func main() {
--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -13,7 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"yardcleat.example/yardcleat/internal/node"
+	"pepperfall.example/pepperfall/internal/node"
 )
 
 const (
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -13,8 +13,8 @@
 	"strconv"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/internal/wire"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // Config is what an edge node is told at its start.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/internal/wire"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // serverList is discovery's form of the list of app servers.
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -4,7 +4,7 @@
 	"math/bits"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 const (
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // clock is the monotonic clock of an edge node, anchored once to Unix time: it
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,7 @@
 	"os"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // Parts of the file descriptors: a request needs one for its client and one
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // What goes on to an app server, and what comes back, is unchanged; each
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/internal/wire"
+	"pepperfall.example/pepperfall/policy"
 )
 
 const (
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 const (
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // pool makes an upstream that knows one app server, number 1.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // Configure starts an instance, with nothing remembered.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // Append writes one action of an instance as a line.
--- a/internal/wire/json.go
+++ b/internal/wire/json.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // Facts are the settings of an instance as path=value pairs.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 // facts holds the settings of a CONFIGURE line; unknown keys are ignored.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"pepperfall.example/pepperfall/policy"
 )
 
 const ms = time.Millisecond
