--- /dev/null
+++ b/internal/audit/judge.go
@@ -0,0 +1,361 @@
+package audit
+
+import (
+	"fmt"
+	"time"
+)
+
+// Judge finds breaks of the rules in a sequence of events. It does no I/O and
+// knows no time but what it is told; equal events give equal breaks. It is not
+// safe for use by several goroutines: a Ledger is.
+type Judge struct {
+	rules    Rules
+	now      time.Duration
+	requests map[string]*request
+	order    []*request // in the order in which they were first heard of
+	keys     map[string]effect
+	told     map[[2]string]word // by node and server
+	racks    map[string]string
+	cold     map[string]*cold
+	stores   map[string]*store // of ceilings, by customer
+	dying    map[string]bool
+	killed   map[string]time.Duration // when an edge node was last ended outright
+	breaks   []Break
+}
+
+// request is what is known of a client's try.
+type request struct {
+	id       string
+	asked    *Asked
+	at       time.Duration // when it was asked
+	ended    time.Duration // when nothing more is owed, where over
+	over     bool
+	excused  bool // its client left, or its edge node was killed
+	statuses []int
+	charged  bool
+	attempts []*sent
+	late     bool
+}
+
+type sent struct {
+	Sent
+	at     time.Duration
+	notRun bool
+	over   bool
+}
+
+type effect struct {
+	request string
+	server  string
+	at      time.Duration
+}
+
+type word struct {
+	state   State
+	at      time.Duration // since when the server is not to be sent to
+	started bool
+}
+
+type store struct {
+	units  float64
+	at     time.Duration
+	lowest float64 // as a share of burst and slack, see Use
+}
+
+// NewJudge begins with nothing seen.
+func NewJudge(r Rules) *Judge {
+	return &Judge{rules: r, requests: map[string]*request{}, keys: map[string]effect{}, told: map[[2]string]word{},
+		racks: map[string]string{}, cold: map[string]*cold{}, stores: map[string]*store{},
+		dying: map[string]bool{}, killed: map[string]time.Duration{}}
+}
+
+// Breaks returns all breaks found so far, in the order in which they were.
+func (j *Judge) Breaks() []Break { return j.breaks }
+
+// Use returns how much of its ceiling a customer has used at most: 1 is the
+// whole store, and above 1 is what the slack bears.
+func (j *Judge) Use(customer string) float64 {
+	if s := j.stores[customer]; s != nil {
+		return s.lowest
+	}
+	return 0
+}
+
+// HighestUse returns the highest use of any customer's ceiling.
+func (j *Judge) HighestUse() (use float64) {
+	for _, s := range j.stores {
+		use = max(use, s.lowest)
+	}
+	return use
+}
+
+func (j *Judge) fault(b Break) {
+	b.At = j.now
+	j.breaks = append(j.breaks, b)
+}
+
+// Note takes in what was seen at a time, which never goes back.
+func (j *Judge) Note(at time.Duration, ev Event) {
+	j.Advance(at)
+	switch ev := ev.(type) {
+	case Asked:
+		j.asked(ev)
+	case Answered:
+		j.answered(ev)
+	case Lost:
+		j.lost(ev)
+	case Left:
+		if r := j.requests[ev.Request]; r != nil {
+			r.excused = true
+			j.end(r)
+		}
+	case Sent:
+		j.sent(ev)
+	case NotRun:
+		if a := j.attempt(ev.Request, ev.Server); a != nil {
+			a.notRun = true
+		}
+	case Ended:
+		if a := j.attempt(ev.Request, ev.Server); a != nil {
+			a.over = true
+		}
+	case Ran:
+		j.ran(ev)
+	case Told:
+		j.hear(ev)
+	case Rack:
+		j.racks[ev.Server] = ev.Rack
+	case Started:
+		j.cold[ev.Server] = &cold{Started: ev, at: j.now}
+	case Fell:
+		j.fell(ev)
+	case Unasked:
+		if r := j.requests[ev.Request]; r != nil && !r.over {
+			r.excused = true
+			j.end(r)
+		}
+	case Dying:
+		j.dying[ev.Node] = true
+	case Killed:
+		delete(j.dying, ev.Node)
+		j.killed[ev.Node] = j.now
+		for _, r := range j.order {
+			if !r.over && r.asked != nil && r.asked.Node == ev.Node {
+				r.excused = true
+				j.end(r)
+			}
+		}
+		for pair := range j.told {
+			if pair[0] == ev.Node {
+				delete(j.told, pair)
+			}
+		}
+	}
+}
+
+// Advance tells that it is so late: requests that had to have an answer by now
+// are found, and old ones forgotten.
+func (j *Judge) Advance(at time.Duration) {
+	j.now = max(j.now, at)
+	keep := 0
+	for keep < len(j.order) {
+		r := j.order[keep]
+		if !r.over || j.now-r.ended < j.rules.Memory {
+			break
+		}
+		delete(j.requests, r.id)
+		keep++
+	}
+	j.order = j.order[keep:]
+}
+
+// Finish tells that all is over: what has no answer now never gets one.
+func (j *Judge) Finish(at time.Duration) []Break {
+	j.Advance(at)
+	for _, r := range j.order {
+		if r.asked != nil && !r.over && !r.excused {
+			j.fault(Break{Rule: OneAnswer, Request: r.id, Node: r.asked.Node, Why: fmt.Sprintf(
+				"no answer, %.3f s after it was asked", (j.now - r.at).Seconds())})
+			j.end(r)
+		}
+	}
+	return j.breaks
+}
+
+func (j *Judge) request(id string) *request {
+	r := j.requests[id]
+	if r == nil {
+		r = &request{id: id}
+		j.requests[id] = r
+		j.order = append(j.order, r)
+	}
+	return r
+}
+
+func (j *Judge) end(r *request) { r.over, r.ended = true, j.now }
+
+func (j *Judge) attempt(id, server string) *sent {
+	r := j.requests[id]
+	if r == nil {
+		return nil
+	}
+	for i := len(r.attempts) - 1; i >= 0; i-- {
+		if a := r.attempts[i]; a.Server == server && !a.over {
+			return a
+		}
+	}
+	return nil
+}
+
+func (j *Judge) asked(ev Asked) {
+	r := j.request(ev.Request)
+	if r.asked != nil && !r.over {
+		j.fault(Break{Rule: OneAnswer, Request: r.id, Node: ev.Node, Why: "asked again while it is open: the clients are at fault"})
+	}
+	r.asked, r.at, r.over, r.excused = &ev, j.now, false, false
+	j.charge(r)
+}
+
+func (j *Judge) answered(ev Answered) {
+	r := j.request(ev.Request)
+	if r.asked == nil {
+		j.fault(Break{Rule: OneAnswer, Request: ev.Request, Why: "answered, but never asked"})
+		return
+	}
+	b := Break{Rule: OneAnswer, Request: r.id, Node: r.asked.Node}
+	limit := r.asked.Deadline + j.rules.AnswerSlack + j.rules.Slack
+	switch took := j.now - r.at; {
+	case len(r.statuses) > 0:
+		b.Why = fmt.Sprintf("answered %d, and %d before", ev.Status, r.statuses[len(r.statuses)-1])
+		j.fault(b)
+	case !r.excused && took > limit:
+		b.Why = fmt.Sprintf("answered after %.3f s, due after %.3f s", took.Seconds(), limit.Seconds())
+		j.fault(b)
+	}
+	if ev.Status == 200 && !ev.Genuine {
+		b.Why = "served with what no loan server made for it"
+		j.fault(b)
+	}
+	r.statuses = append(r.statuses, ev.Status)
+	if ev.Status == 429 || ev.Status == 503 {
+		j.refused(r, ev.Status)
+	}
+	j.end(r)
+}
+
+// lost judges a connection that ended with no whole answer. One that ends
+// between requests may cross the next one, which its client then sends anew;
+// that is no loss if the edge node had not begun on it.
+func (j *Judge) lost(ev Lost) {
+	r := j.request(ev.Request)
+	if r.asked == nil || r.over {
+		return
+	}
+	if at, ok := j.killed[r.asked.Node]; j.dying[r.asked.Node] || ok && j.now-ev.Age <= at {
+		r.excused = true // it was lost with the process that held the connection
+	}
+	worked := false
+	for _, a := range r.attempts {
+		worked = worked || a.Node == r.asked.Node && a.at >= r.at
+	}
+	switch {
+	case r.excused, ev.Begun:
+		// An answer that has begun and is cut off has failed; it is not lost.
+	case !ev.Reused || worked:
+		j.fault(Break{Rule: OneAnswer, Request: r.id, Node: r.asked.Node, Why: "its connection ended with no answer"})
+	}
+	j.end(r)
+}
+
+// refused judges an answer that says that a further try is harmless.
+func (j *Judge) refused(r *request, status int) {
+	c := j.rules.Classes[r.asked.Class]
+	if c.Effect == Safe || c.Effect == Keyed && !c.Racked {
+		return
+	}
+	for _, a := range r.attempts {
+		if !a.notRun {
+			j.fault(Break{Rule: NoDoubleEffect, Request: r.id, Server: a.Server, Node: a.Node,
+				Why: fmt.Sprintf("answered %d after an attempt that may have run", status)})
+			return
+		}
+	}
+}
+
+func (j *Judge) sent(ev Sent) {
+	r := j.request(ev.Request)
+	if ev.Node == "" && r.asked != nil {
+		ev.Node = r.asked.Node
+	}
+	a := &sent{Sent: ev, at: j.now}
+	b := Break{Rule: NoDoubleEffect, Request: ev.Request, Server: ev.Server, Node: ev.Node}
+	for _, e := range r.attempts {
+		if !e.over {
+			b.Why = "a second attempt while one is out at " + e.Server
+			j.fault(b)
+		}
+	}
+	if r.over && !r.excused && r.asked != nil {
+		b.Why = "an attempt after the final answer"
+		j.fault(b)
+	}
+	j.repeat(r, a)
+	r.attempts = append(r.attempts, a)
+	j.charge(r)
+	if w := j.told[[2]string{ev.Node, ev.Server}]; w.state != Serving {
+		if since := j.now - ev.Began - w.at; since > j.rules.DrainGrace+j.rules.Slack {
+			j.fault(Break{Rule: DrainKept, Request: ev.Request, Server: ev.Server, Node: ev.Node, Why: fmt.Sprintf(
+				"sent %.3f s after the roster said that it drains or is gone", since.Seconds())})
+		}
+	}
+	j.load(a)
+}
+
+// repeat judges a further attempt after one that may have run.
+func (j *Judge) repeat(r *request, a *sent) {
+	if r.asked == nil {
+		return
+	}
+	c := j.rules.Classes[r.asked.Class]
+	for _, e := range r.attempts {
+		if e.notRun || c.Effect == Safe {
+			continue
+		}
+		b := Break{Rule: NoDoubleEffect, Request: r.id, Server: a.Server, Node: a.Node}
+		age := j.now - e.at
+		switch {
+		case c.Effect == Unsafe:
+			b.Why = "sent again after it may have run at " + e.Server
+		case c.Racked && j.racks[e.Server] != j.racks[a.Server]:
+			b.Why = fmt.Sprintf("sent to rack %s after it may have run in rack %s", j.racks[a.Server], j.racks[e.Server])
+		case age > c.Window+j.rules.Slack:
+			b.Why = fmt.Sprintf("sent %.3f s after it may have run; the rack remembers it for %.3f s", age.Seconds(), c.Window.Seconds())
+		default:
+			continue
+		}
+		j.fault(b)
+		return
+	}
+}
+
+func (j *Judge) ran(ev Ran) {
+	if ev.Key == "" {
+		return
+	}
+	if e, twice := j.keys[ev.Key]; twice {
+		j.fault(Break{Rule: NoDoubleEffect, Request: ev.Request, Server: ev.Server, Why: fmt.Sprintf(
+			"key %s took effect again; first at %.3f s at %s as request %s", ev.Key, e.at.Seconds(), e.server, e.request)})
+		return
+	}
+	j.keys[ev.Key] = effect{ev.Request, ev.Server, j.now}
+}
+
+func (j *Judge) hear(ev Told) {
+	pair := [2]string{ev.Node, ev.Server}
+	w := j.told[pair]
+	if w.state == Serving && ev.State != Serving {
+		w.at = j.now
+	}
+	w.state, w.started = ev.State, ev.Started
+	j.told[pair] = w
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -42,6 +42,7 @@
 	conns  map[*clientConn]struct{}
 	shut   int           // of them, closed here and not yet let go
 	active time.Duration // when a request last came
+	reuse  reuse
 }
 
 // clientConn is a client's connection.
@@ -56,6 +57,7 @@
 	state connState
 	since time.Duration
 	good  bool // a request that could be used has come
+	took  int  // requests taken
 	shut  bool // closed by this edge node while no request was taken on it
 }
 
@@ -137,9 +139,37 @@
 	if cc.shut {
 		s.shut--
 	}
+	if cc.unused(s.clock.now()) {
+		s.reuse.note(false)
+	}
 	delete(s.conns, cc)
 }
 
+// lastAnswer tells whether the connection's next answer should be its last,
+// since clients leave theirs unused and the room for others is short.
+func (s *server) lastAnswer(cc *clientConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cc.took != 1 {
+		return false
+	}
+	now := s.clock.now()
+	return s.reuse.over(now, len(s.conns)-s.shut, s.most, func() (n int) {
+		for o := range s.conns {
+			if o.unused(now) {
+				n++
+			}
+		}
+		return n
+	})
+}
+
+// unused tells whether the connection has stood since its first answer for
+// so long that it counts as one that is not used again.
+func (cc *clientConn) unused(now time.Duration) bool {
+	return cc.took == 1 && cc.state == connIdle && now-cc.since >= churnStood
+}
+
 // shutOne closes the connection that is missed least: one that has been turned
 // away, one that has brought nothing of use, then one that is idle; the oldest
 // first.
@@ -215,6 +245,9 @@
 		return false
 	}
 	cc.state, cc.good = connBusy, true
+	if cc.took++; cc.took == 2 {
+		s.reuse.note(true)
+	}
 	return true
 }
 
@@ -366,7 +399,7 @@
 
 // reply answers a request; the connection goes on if both sides want it.
 func (s *server) reply(cc *clientConn, status int, fields, body string) bool {
-	over := s.draining.Load() || cc.req.over()
+	over := s.draining.Load() || cc.req.over() || s.lastAnswer(cc)
 	if over {
 		fields += "Connection: close\r\n"
 	}
