--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -182,3 +182,9 @@
 	h.Write([]byte(s))
 	return h.Sum64()
 }
+
+// CheckConfig tells what is wrong with a configuration file's text.
+func CheckConfig(text []byte) error {
+	_, err := parseConfig(text, func(string) string { return "" })
+	return err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"pepperfall.example/pepperfall/policy"
@@ -39,6 +40,9 @@
 	peers    *peers
 	disc     *discovery
 	listener net.Listener
+
+	tuning            sync.Mutex // one change at a time
+	platformDiscovery string     // where the platform's configuration says that it is
 }
 
 // New opens the sockets of an edge node.
@@ -49,10 +53,10 @@
 	}
 	clk := clock{time.Now()}
 	up := &upstream{clock: clk, dial: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1},
-		idleFor: time.Duration(idlePart * float64(cfg.ConnIdle)), grace: cfg.DrainGrace, rest: restFor,
+		idleFor: time.Duration(idlePart * float64(cfg.ConnIdle)), grace: cfg.DrainGrace,
 		most: int(serverPart * float64(cfg.Sockets)), fields: cfg.Settings.ReportNames,
 		servers: map[policy.ServerID]*appServer{}}
-	n := &Node{cfg: cfg, up: up, loop: newLoop(clk, g, up)}
+	n := &Node{cfg: cfg, up: up, loop: newLoop(clk, g, up), platformDiscovery: cfg.Discovery}
 	n.server = newServer(clk, cfg.Settings, up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
 	n.loop.mustAsk = cfg.Settings.MustAsk
 	n.loop.onList = func(kind policy.MembersKind) {
@@ -80,6 +84,7 @@
 		n.closePeers()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	up.tune(DefaultTuning())
 	n.disc = newDiscovery(cfg.Discovery, func(l *serverList, kind policy.MembersKind) {
 		n.loop.events <- members{l, kind}
 	})
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -44,8 +44,12 @@
 	if !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) || cfg.Listen != n.cfg.Listen || cfg.PeerListen != n.cfg.PeerListen {
 		slog.Warn("new configuration: other settings than discovery are taken over at the next start")
 	}
-	slog.Info("new configuration", "discovery", cfg.Discovery)
-	n.disc.moveTo(cfg.Discovery)
+	n.tuning.Lock()
+	defer n.tuning.Unlock()
+	n.platformDiscovery = cfg.Discovery
+	addr := n.discoveryOf(n.Tuning())
+	slog.Info("new configuration", "discovery", addr)
+	n.disc.moveTo(addr)
 }
 
 // sleep waits; it is false when ctx ended first.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -36,6 +36,7 @@
 	events   chan<- any
 	ready    atomic.Bool
 	draining atomic.Bool
+	tune     atomic.Pointer[Tuning]
 
 	mu     sync.Mutex
 	most   int // connections kept open at once
@@ -79,7 +80,10 @@
 
 // newServer keeps at most so many connections open at once.
 func newServer(c clock, set policy.Settings, up *upstream, events chan<- any, most int) *server {
-	return &server{clock: c, settings: set, up: up, events: events, most: most, conns: map[*clientConn]struct{}{}}
+	s := &server{clock: c, settings: set, up: up, events: events, most: most, conns: map[*clientConn]struct{}{}}
+	def := DefaultTuning()
+	s.tune.Store(&def)
+	return s
 }
 
 // serve accepts connections until the listener is closed.
@@ -150,7 +154,7 @@
 func (s *server) lastAnswer(cc *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cc.took != 1 {
+	if cc.took != 1 || !s.tune.Load().EndUnused {
 		return false
 	}
 	now := s.clock.now()
@@ -254,15 +258,20 @@
 // talk serves a connection, one request after another.
 func (s *server) talk(cc *clientConn) {
 	defer s.leave(cc)
-	for wait := firstRequest; ; wait = clientIdle {
+	for first := true; ; first = false {
 		cc.in.begin()
+		tune := s.tune.Load()
+		wait := tune.ClientIdle
+		if first {
+			wait = tune.FirstRequest
+		}
 		if cc.in.buffered() == 0 {
 			if cc.SetReadDeadline(time.Now().Add(wait)) != nil || cc.in.more() != nil {
 				return // idle for long, or gone
 			}
 		}
 		s.become(cc, connReading)
-		if wait != firstRequest && cc.SetReadDeadline(time.Now().Add(wholeRequest)) != nil {
+		if !first && cc.SetReadDeadline(time.Now().Add(tune.WholeRequest)) != nil {
 			return
 		}
 		if err := cc.read(); err != nil {
@@ -330,7 +339,7 @@
 
 // answer writes an answer in one piece.
 func (s *server) answer(cc *clientConn, status int, fields, body string) error {
-	return cc.write(append(appendHead(cc.out[:0], status, fields, len(body)), body...))
+	return cc.write(append(appendHead(cc.out[:0], status, fields, len(body)), body...), s.tune.Load().ClientWrite)
 }
 
 func appendHead(b []byte, status int, fields string, length int) []byte {
@@ -349,11 +358,11 @@
 	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
 	503: "Service Unavailable"}
 
-func (cc *clientConn) write(b []byte) error {
+func (cc *clientConn) write(b []byte, within time.Duration) error {
 	if cc.out = b; cap(b) > 4*leastBuf {
 		cc.out = nil // a large one is not kept
 	}
-	if err := cc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := cc.SetWriteDeadline(time.Now().Add(within)); err != nil {
 		return err
 	}
 	_, err := cc.Write(b)
@@ -366,9 +375,9 @@
 	r := &cc.req
 	if path(r.target) == "/healthz" && string(r.method) == "GET" {
 		if !s.ready.Load() || s.draining.Load() {
-			return s.reply(cc, 503, "", "not ready")
+			return s.reply(cc, 503, s.tune.Load().health(), "not ready")
 		}
-		return s.reply(cc, 200, "", "")
+		return s.reply(cc, 200, s.tune.Load().health(), "")
 	}
 	c, err := s.parse(r)
 	if err != nil {
--- /dev/null
+++ b/internal/node/tuning.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Tuning holds the figures that those who run an installation may change while
+// an edge node serves. What the platform's program does by itself is
+// DefaultTuning.
+type Tuning struct {
+	FirstRequest time.Duration // from a client's connect to the end of its first request
+	WholeRequest time.Duration // from a later request's first byte to its last
+	ClientIdle   time.Duration // between requests
+	ClientWrite  time.Duration // for a client to take an answer
+	EndUnused    bool          // connections that clients leave unused are ended when room is short
+	Rest         time.Duration // an idle connection to an app server rests so long before it is used again
+	Stall        time.Duration // an answer that has begun and stops for so long is spoilt
+	Discovery    string        // goes before the platform's address; empty: that one
+	Generation   string        // names these figures to whoever asks healthz; empty: none is told
+	Refused      string        // the last generation that was not taken over; empty: none
+}
+
+// DefaultTuning is what holds without an operator file.
+func DefaultTuning() Tuning {
+	return Tuning{FirstRequest: firstRequest, WholeRequest: wholeRequest, ClientIdle: clientIdle, ClientWrite: writeTimeout,
+		EndUnused: true, Rest: restFor, Stall: answerStall}
+}
+
+// Header fields of healthz answers that tell a supervisor what is in force.
+const (
+	GenerationField = "Pepperfall-Generation"
+	RefusedField    = "Pepperfall-Refused"
+)
+
+// health is the header of a healthz answer.
+func (t *Tuning) health() (fields string) {
+	if t.Generation != "" {
+		fields = GenerationField + ": " + t.Generation + "\r\n"
+	}
+	if t.Refused != "" {
+		fields += RefusedField + ": " + t.Refused + "\r\n"
+	}
+	return fields
+}
+
+// Tune takes new figures over, all at once.
+func (n *Node) Tune(t Tuning) {
+	n.tuning.Lock()
+	defer n.tuning.Unlock()
+	old := n.server.tune.Swap(&t)
+	n.up.tune(t)
+	if old.Discovery != t.Discovery {
+		n.disc.moveTo(n.discoveryOf(t))
+	}
+	if old.Generation != t.Generation {
+		slog.Info("operator file in force", "generation", t.Generation)
+	}
+}
+
+// Tuning returns the figures in force.
+func (n *Node) Tuning() Tuning { return *n.server.tune.Load() }
+
+func (n *Node) discoveryOf(t Tuning) string {
+	if t.Discovery != "" {
+		return t.Discovery
+	}
+	return n.platformDiscovery
+}
+
+func (u *upstream) tune(t Tuning) {
+	u.mu.Lock()
+	u.rest = t.Rest
+	u.mu.Unlock()
+	u.stall.Store(int64(t.Stall))
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,6 +40,7 @@
 	rest    time.Duration // before an idle connection is used again
 	most    int           // connections at once, to all servers
 	fields  []string      // of load reports, by the module's order
+	stall   atomic.Int64  // nanoseconds for which an answer may stop
 
 	mu      sync.Mutex
 	open    int
@@ -61,12 +63,13 @@
 	in   stream
 	head head
 	used time.Duration
+	up   *upstream
 }
 
 // Read gives up an answer that has begun and stops.
 func (c *upConn) Read(b []byte) (int, error) {
 	if len(c.in.buf) > 0 {
-		if err := c.SetReadDeadline(time.Now().Add(answerStall)); err != nil {
+		if err := c.SetReadDeadline(time.Now().Add(time.Duration(c.up.stall.Load()))); err != nil {
 			return 0, err
 		}
 	}
@@ -319,7 +322,7 @@
 			u.discard(nil)
 			return result{code: policy.ConnectFailed}
 		}
-		c = &upConn{Conn: conn}
+		c = &upConn{Conn: conn, up: u}
 		c.in.src = c
 	}
 	now := u.clock.now()
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -17,6 +17,7 @@
 func pool(addr string) *upstream {
 	u := &upstream{clock: clock{time.Now()}, dial: net.Dialer{Timeout: patience}, idleFor: time.Minute, most: 10,
 		grace: 250 * time.Millisecond, fields: []string{"cpu", "rps"}, servers: map[policy.ServerID]*appServer{}}
+	u.stall.Store(int64(answerStall))
 	u.update(&serverList{Targets: []target{serving("s-00000001", addr)}}, true)
 	return u
 }
