Supervise a fleet of daemons, and show one at work with pepperfall demo

Change: internal/fleet starts instances as processes of their own that outlive it, knows them by a lock each holds, restarts what dies and rolls reloads and restarts; a control socket takes status, reload, restart and stop. The command line is kong's; without arguments the program is the platform's as before. internal/demo brings up stand-ins and a fleet, kills and reloads on the way and ends with the audit's verdict.

--- /dev/null
+++ b/cmd/pepperfall/check.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"pepperfall.example/pepperfall/internal/conffile"
+	"pepperfall.example/pepperfall/internal/fleet"
+	"pepperfall.example/pepperfall/internal/operator"
+)
+
+type checkCommand struct {
+	Files []string `arg:"" type:"path" name:"file" help:"Operator or fleet files."`
+	Kind  string   `enum:"auto,operator,fleet" default:"auto" help:"What the files are: ${enum}."`
+}
+
+// Help shows an example.
+func (checkCommand) Help() string {
+	return "Prints every fault with file, line and key, and ends with code 2 if there is one.\n\n" +
+		"Example:\n  pepperfall check deploy/operator.toml deploy/fleet.toml"
+}
+
+// Run checks all files.
+func (c *checkCommand) Run(o output) error {
+	bad := false
+	for _, path := range c.Files {
+		kind := c.Kind
+		if kind == "auto" {
+			kind = kindOf(path)
+		}
+		var err error
+		if kind == "fleet" {
+			_, err = fleet.Load(path)
+		} else {
+			_, err = operator.Load(path)
+		}
+		if err != nil {
+			bad = true
+			fmt.Fprintln(o.err, err)
+			continue
+		}
+		fmt.Fprintf(o.out, "%s: %s file, no fault\n", path, kind)
+	}
+	if bad {
+		return code(exitUsage)
+	}
+	return nil
+}
+
+// kindOf tells a fleet file by the keys that only it has.
+func kindOf(path string) string {
+	text, err := conffile.Read(path)
+	if err != nil {
+		return "operator"
+	}
+	var top map[string]any
+	var syntax *toml.DecodeError
+	if err := toml.Unmarshal(text, &top); errors.As(err, &syntax) {
+		return "operator"
+	}
+	for _, key := range []string{"nodes", "state_dir", "settings"} {
+		if _, ok := top[key]; ok {
+			return "fleet"
+		}
+	}
+	return "operator"
+}
--- /dev/null
+++ b/cmd/pepperfall/demo.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/demo"
+	"pepperfall.example/pepperfall/internal/world"
+)
+
+type demoCommand struct {
+	Instances int     `default:"3" help:"Edge nodes to run."`
+	Seconds   float64 `default:"20" help:"How long clients send."`
+	Seed      uint64  `default:"1" help:"Draws the clients' requests."`
+	Load      float64 `default:"1" help:"Multiplies what the libraries ask."`
+	Churn     float64 `default:"0" help:"Share of the requests that open a connection of their own."`
+	SlackMS   int     `default:"250" help:"By how much the audit widens each limit in time, for a busy machine."`
+	Keep      bool    `help:"Keep the folder with the fleet's files and logs."`
+}
+
+// Help shows an example.
+func (demoCommand) Help() string {
+	return "Brings up stand-ins for loan servers, discovery and clients, and a supervised fleet; kills and reloads instances on the way; " +
+		"ends with what became of the requests and the audit's verdict. Ends with code 1 if a rule was broken.\n\n" +
+		"Example:\n  pepperfall demo --instances 5 --seconds 30"
+}
+
+// Run plays the demo.
+func (c *demoCommand) Run(o output) error {
+	if c.Instances < 1 || c.Instances > 100 || c.Seconds <= 0 || c.Load <= 0 || c.Churn < 0 || c.Churn > 1 || c.SlackMS < 0 {
+		return fmt.Errorf("demo: 1 to 100 instances, seconds and load above 0, churn from 0 to 1, no negative slack")
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "pepperfall-demo-")
+	if err != nil {
+		return err
+	}
+	if c.Keep {
+		fmt.Fprintln(o.out, "files and logs:", dir)
+	} else {
+		defer os.RemoveAll(dir)
+	}
+	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer end()
+	rep, err := demo.Run(ctx, demo.Options{Instances: c.Instances, Length: time.Duration(c.Seconds * float64(time.Second)), Seed: c.Seed,
+		Dir: dir, Program: program, Out: o.out, World: world.Real{}, Slack: time.Duration(c.SlackMS) * time.Millisecond, Load: c.Load,
+		Churn: c.Churn})
+	if err != nil {
+		return err
+	}
+	if err := rep.Table(o.out); err != nil {
+		return err
+	}
+	if len(rep.Breaks) > 0 {
+		return code(exitFailed)
+	}
+	return nil
+}
--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -1,57 +1,93 @@
-// Command pepperfall is one edge node on real sockets. It takes its settings
-// from the environment (GW_CONFIG and its like), takes over a new configuration
-// file on SIGHUP, and stops on SIGTERM once all that it has taken is answered.
+// Command pepperfall is one edge node on real sockets, and what is needed to
+// run many of them. Without arguments it is the platform's program: it takes its
+// settings from the environment (GW_CONFIG and its like), takes over a new
+// configuration file on SIGHUP, and stops on SIGTERM once all that it has taken
+// is answered.
 package main
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
+	"io"
 	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"syscall"
 
-	"pepperfall.example/pepperfall/internal/node"
+	"github.com/alecthomas/kong"
+
+	"pepperfall.example/pepperfall/internal/daemon"
 )
 
+// Exit codes beyond those of package daemon.
 const (
-	exitConfig = 2
-	exitServe  = 1
-
-	memoryPart = 0.7 // of the memory limit, from where on garbage is collected harder
-	gcPercent  = 400 // the heap is small: memory is spent to save CPU
+	exitFailed = 1 // an order was not carried out, or a rule was broken
+	exitUsage  = 2 // a command line or a file is at fault
+	exitConfig = daemon.ExitConfig
 )
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// commands are all that the program can be told to do.
+type commands struct {
+	Serve serveCommand `cmd:"" help:"Run one edge node."`
+	Check checkCommand `cmd:"" help:"Check operator and fleet files."`
+	Fleet fleetCommand `cmd:"" help:"Run many edge nodes, and change them in service."`
+	Demo  demoCommand  `cmd:"" help:"Show a whole installation at work on this machine."`
+}
+
+// output is where commands write.
+type output struct{ out, err io.Writer }
+
+// code is a command's exit code as an error that says nothing more.
+type code int
 
-func run() int {
-	hup := make(chan os.Signal, 1) // caught from the start: by default it would end the process
-	signal.Notify(hup, syscall.SIGHUP)
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	runtime.GOMAXPROCS(1) // an edge node has one core
-	cfg, err := node.LoadConfig(os.Getenv)
+func (c code) Error() string { return fmt.Sprintf("exit code %d", int(c)) }
+
+func run(args []string, out, errs io.Writer) int {
+	if len(args) == 0 {
+		return daemon.Run(daemon.Options{Stderr: errs})
+	}
+	var c commands
+	exit := -1
+	parser, err := kong.New(&c, kong.Name("pepperfall"), kong.Description(
+		"An edge node for quota-keeping gateways. Without arguments it runs one edge node as the platform tells it by GW_CONFIG.\n\n"+
+			"Example:\n  pepperfall demo --instances 3 --seconds 20"),
+		kong.Writers(out, errs), kong.Exit(func(n int) { exit = n }), kong.Bind(output{out, errs}), kong.UsageOnError(),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "pepperfall: configuration:", err)
-		return exitConfig
+		fmt.Fprintln(errs, "pepperfall:", err)
+		return exitFailed
 	}
-	debug.SetGCPercent(gcPercent)
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
+	ctx, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit // help was asked for
 	}
-	n, err := node.New(cfg)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "pepperfall:", err)
-		return exitConfig
+		fmt.Fprintln(errs, "pepperfall:", err)
+		return exitUsage
 	}
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	slog.Info("serving", "name", cfg.Name, "addr", n.Addr().String())
-	if err := n.Run(stop, hup); err != nil {
-		slog.Error("stopped", "err", err)
-		return exitServe
+	switch err := ctx.Run().(type) {
+	case nil:
+		return 0
+	case code:
+		return int(err)
+	default:
+		fmt.Fprintln(errs, "pepperfall:", err)
+		return exitFailed
+	}
+}
+
+type serveCommand struct {
+	Operator     string `type:"path" placeholder:"FILE" help:"Operator file; without it all is as the platform has it."`
+	InstanceLock string `type:"path" placeholder:"FILE" help:"Lock that makes this process a named instance of a fleet."`
+}
+
+// Help shows an example.
+func (serveCommand) Help() string {
+	return "Example:\n  GW_CONFIG=config.json pepperfall serve --operator deploy/operator.toml"
+}
+
+// Run serves until SIGTERM.
+func (c *serveCommand) Run(o output) error {
+	if n := daemon.Run(daemon.Options{Operator: c.Operator, Lock: c.InstanceLock, Stderr: o.err}); n != 0 {
+		return code(n)
 	}
-	slog.Info("stopped")
-	return 0
+	return nil
 }
--- a/cmd/pepperfall/main_test.go
+++ b/cmd/pepperfall/main_test.go
@@ -17,7 +17,7 @@
 // The test binary stands in for the program when it is told so.
 func TestMain(m *testing.M) {
 	if os.Getenv("PEPPERFALL_RUN") != "" {
-		os.Exit(run())
+		os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -321,3 +321,20 @@
 }
 
 func (f *Front) note(ev audit.Event) { f.site.notary.Note(ev) }
+
+// Await waits until an edge node takes clients; it is false when ctx ended
+// first or there is no such edge node.
+func (f *Front) Await(ctx context.Context, node string) bool {
+	for _, d := range f.nodes {
+		if d.Name != node {
+			continue
+		}
+		for !d.look(ctx) {
+			if !world.Sleep(ctx, f.site.world, frontPoll/4) {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
