--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -69,7 +69,8 @@
 		list = append(list, standin.Customer{Key: key, Plan: plan, Rate: rate * load, Loans: loans, Units: units, First: first,
 			Spread: min(max(1, spread), instances)})
 	}
-	add("0000000000000001", "municipal", 30, 0.5, 2, instances) // 45 units a second of a quota of 9
+	add("0000000000000001", "municipal", 60, 0.5, 2, instances) // 90 units a second of a quota of 18, in bursts:
+	list[0].Every, list[0].For = 8*time.Second, 3*time.Second   // between them quota and ceiling fill up again
 	add("0000000000000002", "municipal", 4, 0.5, 2, instances)
 	add("0000000000000003", "municipal", 4, 0.3, 1, instances/2)
 	add("0000000000000010", "judetean", 12, 0.4, 2, instances)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -185,6 +185,10 @@
 
 // CheckConfig tells what is wrong with a configuration file's text.
 func CheckConfig(text []byte) error {
-	_, err := parseConfig(text, func(string) string { return "" })
+	c, err := parseConfig(text, func(string) string { return "" })
+	if err != nil {
+		return err
+	}
+	_, err = policy.New(c.Settings, c.Seed)
 	return err
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -774,3 +775,39 @@
 		t.Errorf("%v, want GW_CONFIG", err)
 	}
 }
+
+// Those who look at healthz often don't keep an edge node from stopping.
+func TestLooksDoNotHoldAStop(t *testing.T) {
+	r := nodeWith(t)
+	stop := make(chan struct{})
+	var looks sync.WaitGroup
+	for range 2 {
+		looks.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				c, err := net.Dial("tcp", r.Addr().String())
+				if err != nil {
+					continue
+				}
+				fmt.Fprintf(c, "GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+				_, _ = io.Copy(io.Discard, c)
+				c.Close()
+			}
+		})
+	}
+	r.stop()
+	select {
+	case err := <-r.done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("an edge node that is looked at every few milliseconds has not stopped")
+	}
+	close(stop)
+	looks.Wait()
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -59,7 +59,9 @@
 	since time.Duration
 	good  bool // a request that could be used has come
 	took  int  // requests taken
-	shut  bool // closed by this edge node while no request was taken on it
+
+	touched time.Duration // when something last came that may be a client's request; 0: it was none, or is counted
+	shut    bool          // closed by this edge node while no request was taken on it
 }
 
 type connState int
@@ -129,13 +131,21 @@
 		c.Close()
 		return nil
 	}
-	s.active = s.clock.now()
-	cc := &clientConn{Conn: c, since: s.active}
+	cc := &clientConn{Conn: c, since: s.clock.now()}
+	cc.touched = cc.since
 	cc.in.src = c
 	s.conns[cc] = struct{}{}
 	return cc
 }
 
+// untouch tells that what came on a connection was a look at healthz only:
+// whoever looks often must not keep an edge node from stopping.
+func (s *server) untouch(cc *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cc.touched = 0
+}
+
 func (s *server) leave(cc *clientConn) {
 	cc.Close()
 	s.mu.Lock()
@@ -143,6 +153,7 @@
 	if cc.shut {
 		s.shut--
 	}
+	s.active = max(s.active, cc.touched)
 	if cc.unused(s.clock.now()) {
 		s.reuse.note(false)
 	}
@@ -226,7 +237,11 @@
 func (s *server) state() (open int, quiet time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns), s.clock.now() - s.active
+	last := s.active
+	for cc := range s.conns {
+		last = max(last, cc.touched)
+	}
+	return len(s.conns), s.clock.now() - last
 }
 
 // become notes what a connection does now.
@@ -235,7 +250,7 @@
 	defer s.mu.Unlock()
 	cc.state, cc.since = state, s.clock.now()
 	if state == connReading {
-		s.active = cc.since
+		cc.touched = cc.since
 	}
 }
 
@@ -249,6 +264,7 @@
 		return false
 	}
 	cc.state, cc.good = connBusy, true
+	s.active, cc.touched = max(s.active, cc.touched), 0
 	if cc.took++; cc.took == 2 {
 		s.reuse.note(true)
 	}
@@ -374,6 +390,7 @@
 func (s *server) handle(cc *clientConn) bool {
 	r := &cc.req
 	if path(r.target) == "/healthz" && string(r.method) == "GET" {
+		s.untouch(cc)
 		if !s.ready.Load() || s.draining.Load() {
 			return s.reply(cc, 503, s.tune.Load().health(), "not ready")
 		}
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -22,6 +22,8 @@
 	Units  float64 // of a loan request; a lookup takes 1
 	First  int     // its set of edge nodes
 	Spread int
+	Every  time.Duration // 0: it asks all the time; else anew each time,
+	For    time.Duration // for so long
 }
 
 // FrontConfig says how clients behave. Zero values: clients that don't retry,
@@ -160,6 +162,7 @@
 // Run sends until ctx ends, then waits for what is open.
 func (f *Front) Run(ctx context.Context) {
 	var senders sync.WaitGroup
+	began := f.site.world.Now()
 	for _, d := range f.nodes {
 		senders.Go(func() {
 			for {
@@ -174,6 +177,9 @@
 		rnd := rand.New(rand.NewPCG(f.cfg.Seed, uint64(i)))
 		senders.Go(func() {
 			for world.Sleep(ctx, f.site.world, time.Duration(rnd.ExpFloat64()/c.Rate*float64(time.Second))) {
+				if c.Every > 0 && f.site.world.Now().Sub(began)%c.Every >= c.For {
+					continue
+				}
 				t := &loan{customer: c, class: "holdings-lookup", units: 1}
 				if rnd.Float64() < c.Loans {
 					t.class, t.units, t.key = "loan-request", max(1, c.Units), fmt.Sprintf("%016x%016x", rnd.Uint64(), rnd.Uint64())
--- a/internal/standin/loan.go
+++ b/internal/standin/loan.go
@@ -98,11 +98,10 @@
 }
 
 func (l *LoanServer) listen(addr string) error {
-	raw, err := ServeRaw(l.site.world, addr, l.serve)
+	raw, err := serveRaw(l.site.world, addr, l.serve, l.cfg.IdleFor, l.cfg.Connections)
 	if err != nil {
 		return err
 	}
-	raw.idle, raw.most = l.cfg.IdleFor, l.cfg.Connections
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.raw, l.addr, l.free, l.fallen, l.arrivals = raw, raw.Addr(), make([]time.Time, l.cfg.Cores), false, nil
@@ -368,3 +367,17 @@
 	}
 	return l.report
 }
+
+// Open returns how many attempts are out at it.
+func (l *LoanServer) Open() (n int) {
+	l.site.mu.Lock()
+	defer l.site.mu.Unlock()
+	for _, list := range l.site.out {
+		for _, a := range list {
+			if a.server == l.cfg.UID {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,11 +42,17 @@
 // ServeRaw listens at an address. do answers a request on the connection and
 // returns false to end it.
 func ServeRaw(w Outside, addr string, do func(c net.Conn, r *Request) bool) (*Raw, error) {
+	return serveRaw(w, addr, do, 0, 0)
+}
+
+// serveRaw also closes connections that are idle for so long, and resets new
+// ones beyond so many; 0: neither.
+func serveRaw(w Outside, addr string, do func(c net.Conn, r *Request) bool, idle time.Duration, most int) (*Raw, error) {
 	ln, err := w.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("loan server: %w", err)
 	}
-	r := &Raw{do: do, now: w.Now, ln: ln, conns: map[net.Conn]struct{}{}}
+	r := &Raw{do: do, now: w.Now, ln: ln, idle: idle, most: most, conns: map[net.Conn]struct{}{}}
 	r.wg.Add(1)
 	go r.accept(ln)
 	return r, nil
@@ -113,7 +120,7 @@
 			_ = c.SetReadDeadline(s.now().Add(s.idle))
 		}
 		if _, err := br.Peek(1); err != nil {
-			if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) == false && s.idle == 0 {
+			if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 				s.Ended.Add(1)
 			}
 			return
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -46,8 +46,11 @@
 }
 
 // SiteSettings are the settings of an installation with four plans, one of
-// them under a hard ceiling, and the two classes of a library's work.
+// them under a hard ceiling little above its quota, and the two classes of a
+// library's work. The municipal plan is large enough for its smallest part, one
+// for each edge node, to hold two of the largest requests.
 func SiteSettings(nodes int) Settings {
+	burst := max(36, 4*float64(nodes))
 	return Settings{
 		Balancers: nodes, Zone: "a", Zones: []string{"a", "b"}, TickMS: 1, Discovery: "push", Weight: "nominal",
 		Caps: map[string]any{"max_attempts": 3, "cancel": true, "peers": true, "retry_after": true,
@@ -63,7 +66,7 @@
 		Plans: []Plan{
 			{Name: "scolar", Rate: 1.2, Store: 5},
 			{Name: "orasenesc", Rate: 3.2, Store: 12},
-			{Name: "municipal", Rate: 9, Store: 18, HardRate: 19, HardBurst: 38, Tolerance: 4},
+			{Name: "municipal", Rate: 18, Store: burst, HardRate: 19, HardBurst: burst + 2, Tolerance: 4},
 			{Name: "judetean", Rate: 25, Store: 60, Parallel: 20},
 		},
 	}
