--- a/internal/fleet/rig_test.go
+++ b/internal/fleet/rig_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"pepperfall.example/pepperfall/internal/daemon"
 	"pepperfall.example/pepperfall/internal/standin"
 	"pepperfall.example/pepperfall/internal/world"
@@ -32,7 +34,9 @@
 		os.Exit(program(os.Args[1:]))
 	}
 	os.Setenv(asProgram, "1")
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m, goleak.Cleanup(func(code int) {
+		os.Exit(code)
+	}))
 }
 
 func program(args []string) int {
@@ -100,6 +104,12 @@
 // newRig writes the files of a fleet of n and opens its stand-ins. cfg may
 // shape the loan server.
 func newRig(t *testing.T, n int, cfg standin.LoanConfig) *fleetRig {
+	t.Helper()
+	return newRigOf(t, n, cfg, standin.Nobody{})
+}
+
+// newRigOf also tells somebody what the stand-ins see.
+func newRigOf(t *testing.T, n int, cfg standin.LoanConfig, notary standin.Notary) *fleetRig {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "pf") // short: a socket lies in it
 	if err != nil {
@@ -108,7 +118,7 @@
 	r := &fleetRig{t: t, dir: dir, file: filepath.Join(dir, "fleet.toml"), count: n,
 		addr: fmt.Sprintf("127.%d.%d.%d", 64+seeds.IntN(128), seeds.IntN(256), 1+seeds.IntN(254))}
 	t.Cleanup(func() { os.RemoveAll(dir) })
-	r.site = standin.NewSite(world.Real{}, standin.Nobody{})
+	r.site = standin.NewSite(world.Real{}, notary)
 	cfg.UID, cfg.Rack = "s-00000001", "1"
 	if r.loan, err = r.site.StartLoan(cfg); err != nil {
 		t.Fatal(err)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -1,19 +1,18 @@
 package node
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
+
+	"pepperfall.example/pepperfall/internal/standin"
+	"pepperfall.example/pepperfall/internal/world"
 )
 
 const patience = 10 * time.Second // how long a test waits for a condition
@@ -27,133 +26,60 @@
 	}
 }
 
-// app is an app server that does with each request what the test says.
-type app struct {
-	ln    net.Listener
-	conns atomic.Int32 // accepted
-	seen  atomic.Int32 // requests that came whole
-	ended atomic.Int32 // connections that the edge node ended
-}
-
-// newApp serves with do, which returns false to end the connection.
-func newApp(t *testing.T, do func(c net.Conn, r *http.Request, body string) bool) *app {
+// newApp starts an app server that does with each request what the test says.
+func newApp(t *testing.T, do func(c net.Conn, r *standin.Request) bool) *standin.Raw {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := standin.ServeRaw(world.Real{}, "127.0.0.1:0", do)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &app{ln: ln}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			a.conns.Add(1)
-			t.Cleanup(func() { c.Close() })
-			go func() {
-				defer c.Close()
-				br := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						a.ended.Add(1)
-						return
-					}
-					body, err := io.ReadAll(r.Body)
-					if err != nil {
-						return
-					}
-					a.seen.Add(1)
-					if !do(c, r, string(body)) {
-						return
-					}
-				}
-			}()
-		}
-	}()
+	t.Cleanup(a.Close)
 	return a
 }
 
-func (a *app) addr() string { return a.ln.Addr().String() }
-
-// answer writes a plain answer with the given status line and headers.
-func answer(status, headers, body string) func(net.Conn, *http.Request, string) bool {
-	return func(c net.Conn, _ *http.Request, _ string) bool {
-		fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
-		return true
-	}
-}
-
-// deaf reads requests and never answers.
-func deaf(net.Conn, *http.Request, string) bool { return true }
-
 // refusing returns an address where nothing listens.
 func refusing(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.Refusing(world.Real{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
-// registry is a discovery agent.
+// registry is a discovery agent and the roster that it tells of.
 type registry struct {
-	mu    sync.Mutex
-	rev   int64
-	list  []target
-	news  chan struct{} // closed at a change
-	down  bool
-	calls atomic.Int32
-	http  *http.Server
-	addr  string
+	*standin.Agent
+	roster *standin.Roster
 }
 
 func newRegistry(t *testing.T, list ...target) *registry {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	r := standin.NewSite(world.Real{}, standin.Nobody{}).NewRoster(inRoster(list)...)
+	a, err := r.StartAgent("n0", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &registry{rev: 1, list: list, news: make(chan struct{}), addr: ln.Addr().String()}
-	g.http = &http.Server{Handler: g}
-	go g.http.Serve(ln)
-	t.Cleanup(func() { g.http.Close() })
-	return g
+	t.Cleanup(a.Close)
+	return &registry{a, r}
 }
 
-func (g *registry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.calls.Add(1)
-	g.mu.Lock()
-	since, news, down := r.URL.Query().Get("since"), g.news, g.down
+// set changes lines of the roster, and whether the agent answers.
+func (g *registry) set(down bool, list ...target) {
+	status := 0
 	if down {
-		g.mu.Unlock()
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+		status = http.StatusInternalServerError
 	}
-	if since == fmt.Sprint(g.rev) {
-		g.mu.Unlock()
-		select {
-		case <-news:
-		case <-r.Context().Done():
-			return
-		}
-		g.mu.Lock()
-	}
-	defer g.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(serverList{Rev: g.rev, All: since == "", Targets: g.list})
+	g.roster.Put(inRoster(list)...)
+	g.Fail(status)
 }
 
-func (g *registry) set(down bool, list ...target) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.rev++
-	g.list, g.down = list, down
-	close(g.news)
-	g.news = make(chan struct{})
+func inRoster(list []target) (out []standin.Target) {
+	for _, t := range list {
+		out = append(out, standin.Target{UID: t.UID, Endpoint: t.Endpoint, Zone: t.Zone, Group: t.Cell, State: t.State,
+			Weight: t.Weight, BootMS: t.BootMS})
+	}
+	return out
 }
 
 func serving(uid, addr string) target {
@@ -218,7 +144,7 @@
 	for i, a := range addrs {
 		list = append(list, serving(fmt.Sprintf("s-%08x", i+1), a))
 	}
-	return start(t, testConfig(t, newRegistry(t, list...).addr))
+	return start(t, testConfig(t, newRegistry(t, list...).Addr()))
 }
 
 // request makes a client's request; POST for the keyed class.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/standin"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -23,11 +24,11 @@
 // request is written once.
 func TestServes(t *testing.T) {
 	var got atomic.Value
-	a := newApp(t, func(c net.Conn, r *http.Request, body string) bool {
-		got.Store(fmt.Sprint(r.Method, r.RequestURI, body, r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")))
-		return answer("200 OK", "", "placed\x00")(c, r, body)
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		got.Store(fmt.Sprint(r.Method, r.RequestURI, r.Content, r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")))
+		return standin.Answer("200 OK", "", "placed\x00")(c, r)
 	})
-	n := nodeWith(t, a.addr())
+	n := nodeWith(t, a.Addr())
 	for class, want := range map[string]string{
 		"lookup": "GET/lookup?q=19b1f03aa5c7e2d41",
 		"loan":   "POST/loan?q=1order=179b1f03aa5c7e2d415c0f6e1a2b3d4c59a8b7c6d5e4f30211",
@@ -37,15 +38,15 @@
 			t.Errorf("%s: %d %q, sent on %q, want %q", class, resp.StatusCode, body, got.Load(), want)
 		}
 	}
-	if s := a.seen.Load(); s != 2 {
+	if s := a.Seen.Load(); s != 2 {
 		t.Errorf("2 requests were written %d times", s)
 	}
 }
 
 // An attempt that never ran goes elsewhere; the client sees one answer.
 func TestGoesElsewhere(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	n := nodeWith(t, refusing(t), a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	n := nodeWith(t, refusing(t), a.Addr())
 	for range 20 {
 		if resp, body := ask(t, request(n.url, "loan", patience)); resp.StatusCode != 200 || body != "hits" {
 			t.Fatalf("%d %q", resp.StatusCode, body)
@@ -56,27 +57,27 @@
 // A keyed request that may have run goes to its own group of servers only, and
 // a refusal is ruled out: it would say that a retry is harmless.
 func TestKeyedMayHaveRun(t *testing.T) {
-	breaks := func(net.Conn, *http.Request, string) bool { return false }
+	breaks := func(net.Conn, *standin.Request) bool { return false }
 	a, b := newApp(t, breaks), newApp(t, breaks)
-	other := serving("s-00000002", b.addr())
+	other := serving("s-00000002", b.Addr())
 	other.Cell = 1
-	n := start(t, testConfig(t, newRegistry(t, serving("s-00000001", a.addr()), other).addr))
+	n := start(t, testConfig(t, newRegistry(t, serving("s-00000001", a.Addr()), other).Addr()))
 	resp, _ := ask(t, request(n.url, "loan", patience))
-	if resp.StatusCode != http.StatusBadGateway || a.seen.Load()+b.seen.Load() != 1 {
-		t.Errorf("%d after %d and %d attempts", resp.StatusCode, a.seen.Load(), b.seen.Load())
+	if resp.StatusCode != http.StatusBadGateway || a.Seen.Load()+b.Seen.Load() != 1 {
+		t.Errorf("%d after %d and %d attempts", resp.StatusCode, a.Seen.Load(), b.Seen.Load())
 	}
 }
 
 // A server that never answers: the client gets a failure before its deadline,
 // and the attempt does not stay out.
 func TestAnswersBeforeTheDeadline(t *testing.T) {
-	a := newApp(t, deaf)
-	n := nodeWith(t, a.addr())
+	a := newApp(t, standin.Deaf)
+	n := nodeWith(t, a.Addr())
 	resp, _ := ask(t, request(n.url, "loan", 300*time.Millisecond))
 	if resp.StatusCode != http.StatusBadGateway {
 		t.Errorf("%d", resp.StatusCode)
 	}
-	eventually(t, "the end of the attempt", func() bool { return a.ended.Load() == 1 })
+	eventually(t, "the end of the attempt", func() bool { return a.Ended.Load() == 1 })
 }
 
 // What the module has given up on is answered at once, with its advice.
@@ -160,8 +161,8 @@
 
 // Anything may come from outside: it is answered 400 and harms nobody.
 func TestMalformedRequests(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	n := nodeWith(t, a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.Addr())
 	for _, c := range []struct{ class, header, value string }{
 		{"lookup", "X-Class", "shelve"}, {"lookup", "X-Class", ""},
 		{"lookup", "X-Tier", "gold"}, {"lookup", "X-Request-Id", ""},
@@ -187,8 +188,8 @@
 		_, _ = c.Write([]byte(text))
 		c.Close()
 	}
-	if a.seen.Load() != 0 {
-		t.Errorf("%d of them were sent on", a.seen.Load())
+	if a.Seen.Load() != 0 {
+		t.Errorf("%d of them were sent on", a.Seen.Load())
 	}
 	if resp, _ := ask(t, request(n.url, "lookup", patience)); resp.StatusCode != 200 {
 		t.Errorf("a good one after them: %d", resp.StatusCode)
@@ -199,8 +200,8 @@
 // they are answered 400 at most once, nothing of them is sent on and nothing more is read
 // from their connection. The good request behind each must not be served.
 func TestUnclearFraming(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	n := nodeWith(t, a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.Addr())
 	fields := "Host: app.svc\r\nX-Request-Id: 1\r\nX-Class: loan\r\nX-Tier: town\r\nCookie: key=00000000b4d65521\r\n" +
 		"X-Deadline-Ms: 900\r\nIdempotency-Key: k\r\n"
 	get := "GET /lookup HTTP/1.1\r\nX-Request-Id: 2\r\nX-Class: lookup\r\nX-Tier: town\r\n" +
@@ -241,8 +242,8 @@
 			t.Errorf("%s: %q", name, all)
 		}
 	}
-	if a.seen.Load() != 0 {
-		t.Errorf("%d requests were sent on", a.seen.Load())
+	if a.Seen.Load() != 0 {
+		t.Errorf("%d requests were sent on", a.Seen.Load())
 	}
 	c := dial(t, n) // the same form, told in one way
 	_, _ = c.Write([]byte(post + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
@@ -292,8 +293,8 @@
 // Connections that bring nothing of use make room before those that have
 // carried good requests, however old these are.
 func TestUsefulClientsStay(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	n := nodeWith(t, a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.Addr())
 	http.DefaultClient.CloseIdleConnections()
 	eventually(t, "no connection", func() bool { open, _ := n.server.state(); return open == 0 })
 	n.server.mu.Lock()
@@ -316,19 +317,19 @@
 // two under one id would be two attempts out at once.
 func TestIDOfAnOpenRequest(t *testing.T) {
 	release := make(chan struct{})
-	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
 		<-release
-		return answer("200 OK", "", "hits")(c, r, b)
+		return standin.Answer("200 OK", "", "hits")(c, r)
 	})
-	n := nodeWith(t, a.addr())
+	n := nodeWith(t, a.Addr())
 	first := send(t, dial(t, n), request(n.url, "loan", patience))
-	eventually(t, "the first at the app server", func() bool { return a.seen.Load() == 1 })
+	eventually(t, "the first at the app server", func() bool { return a.Seen.Load() == 1 })
 	if resp := send(t, dial(t, n), request(n.url, "loan", patience))(); resp.StatusCode != http.StatusConflict {
 		t.Errorf("the second: %d", resp.StatusCode)
 	}
 	close(release)
-	if resp := first(); resp.StatusCode != 200 || a.seen.Load() != 1 {
-		t.Errorf("the first: %d, %d attempts", resp.StatusCode, a.seen.Load())
+	if resp := first(); resp.StatusCode != 200 || a.Seen.Load() != 1 {
+		t.Errorf("the first: %d, %d attempts", resp.StatusCode, a.Seen.Load())
 	}
 	if resp := send(t, dial(t, n), request(n.url, "loan", patience))(); resp.StatusCode != 200 {
 		t.Errorf("once it is free again: %d", resp.StatusCode)
@@ -338,11 +339,11 @@
 // What an app server calls unfit is the client's fault: it is neither tried
 // elsewhere nor held against the server.
 func TestUnfitRequestIsNotTriedAgain(t *testing.T) {
-	a := newApp(t, answer("400 No", "", ""))
-	n := nodeWith(t, a.addr())
+	a := newApp(t, standin.Answer("400 No", "", ""))
+	n := nodeWith(t, a.Addr())
 	for i := range 5 {
-		if resp, _ := ask(t, request(n.url, "lookup", patience)); resp.StatusCode != 400 || int(a.seen.Load()) != i+1 {
-			t.Fatalf("%d after %d attempts", resp.StatusCode, a.seen.Load())
+		if resp, _ := ask(t, request(n.url, "lookup", patience)); resp.StatusCode != 400 || int(a.Seen.Load()) != i+1 {
+			t.Fatalf("%d after %d attempts", resp.StatusCode, a.Seen.Load())
 		}
 	}
 }
@@ -350,10 +351,10 @@
 // Requests sent one behind another each get one answer, in their order; a
 // client that sends only useless ones is let go.
 func TestBursts(t *testing.T) {
-	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
-		return answer("200 OK", "", r.Header.Get("X-Request-Id")+";")(c, r, b)
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		return standin.Answer("200 OK", "", r.Header.Get("X-Request-Id")+";")(c, r)
 	})
-	n := nodeWith(t, a.addr())
+	n := nodeWith(t, a.Addr())
 	c := dial(t, n)
 	var text, want strings.Builder
 	for i := range 300 {
@@ -419,18 +420,18 @@
 // refusal, tells the client to go.
 func TestStopAnswersAll(t *testing.T) {
 	release := make(chan struct{})
-	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
 		if r.Method == http.MethodPost {
 			<-release
 		}
-		return answer("200 OK", "", "hits")(c, r, b)
+		return standin.Answer("200 OK", "", "hits")(c, r)
 	})
-	n := nodeWith(t, a.addr())
+	n := nodeWith(t, a.Addr())
 	old, open, idle := dial(t, n), dial(t, n), dial(t, n)
 	send(t, old, request(n.url, "lookup", patience))()
 	send(t, idle, request(n.url, "lookup", patience))()
 	held := send(t, open, request(n.url, "loan", patience))
-	eventually(t, "the open request at the app server", func() bool { return a.seen.Load() == 3 })
+	eventually(t, "the open request at the app server", func() bool { return a.Seen.Load() == 3 })
 	n.stop()
 	eventually(t, "the stop", n.server.draining.Load)
 	fresh := dial(t, n)
@@ -478,11 +479,11 @@
 // first, and busy ones are not.
 func TestShutsIdleClients(t *testing.T) {
 	release := make(chan struct{})
-	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
 		<-release
-		return answer("200 OK", "", "hits")(c, r, b)
+		return standin.Answer("200 OK", "", "hits")(c, r)
 	})
-	n := nodeWith(t, a.addr())
+	n := nodeWith(t, a.Addr())
 	http.DefaultClient.CloseIdleConnections()
 	eventually(t, "no connection", func() bool { open, _ := n.server.state(); return open == 0 })
 	n.server.mu.Lock()
@@ -490,7 +491,7 @@
 	n.server.mu.Unlock()
 	busy := dial(t, n)
 	held := send(t, busy, request(n.url, "loan", patience))
-	eventually(t, "the open request at the app server", func() bool { return a.seen.Load() == 1 })
+	eventually(t, "the open request at the app server", func() bool { return a.Seen.Load() == 1 })
 	idle := dial(t, n)
 	eventually(t, "two connections", func() bool { open, _ := n.server.state(); return open == 2 })
 	dial(t, n)
@@ -529,8 +530,8 @@
 // Clients that never finish their requests must not use up the descriptors:
 // others still get in, and busy connections stay.
 func TestSlowRequestsMakeRoom(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	n := nodeWith(t, a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.Addr())
 	http.DefaultClient.CloseIdleConnections()
 	n.server.mu.Lock()
 	n.server.most = 4
@@ -554,10 +555,10 @@
 
 // Large messages pass unchanged, up to what the protocol allows.
 func TestLargeMessages(t *testing.T) {
-	a := newApp(t, func(c net.Conn, r *http.Request, body string) bool {
-		return answer("200 OK", "", body)(c, r, body)
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		return standin.Answer("200 OK", "", r.Content)(c, r)
 	})
-	n := nodeWith(t, a.addr())
+	n := nodeWith(t, a.Addr())
 	want := strings.Repeat("0123456789abcdef", mostBody/16)
 	r := request(n.url, "loan", patience)
 	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(want)), mostBody
@@ -570,10 +571,10 @@
 // Changes reach the module; while discovery fails the list held stays in
 // force, and the next call comes soon.
 func TestDiscovery(t *testing.T) {
-	a, b := newApp(t, answer("200 OK", "", "a")), newApp(t, answer("200 OK", "", "b"))
-	first, second := serving("s-00000001", a.addr()), serving("s-00000002", b.addr())
+	a, b := newApp(t, standin.Answer("200 OK", "", "a")), newApp(t, standin.Answer("200 OK", "", "b"))
+	first, second := serving("s-00000001", a.Addr()), serving("s-00000002", b.Addr())
 	g := newRegistry(t, first)
-	n := start(t, testConfig(t, g.addr))
+	n := start(t, testConfig(t, g.Addr()))
 	serves := func(want string) func() bool {
 		return func() bool {
 			resp, body := ask(t, request(n.url, "lookup", patience))
@@ -586,8 +587,8 @@
 	g.set(false, gone, second)
 	eventually(t, "an answer of the second server", serves("b"))
 	g.set(true, gone, second)
-	calls := g.calls.Load()
-	eventually(t, "further calls while discovery fails", func() bool { return g.calls.Load() > calls+2 })
+	calls := g.Calls()
+	eventually(t, "further calls while discovery fails", func() bool { return g.Calls() > calls+2 })
 	if !serves("b")() {
 		t.Error("the list held is not in force while discovery fails")
 	}
@@ -599,9 +600,9 @@
 // address, which the file tells even where GW_DISCOVERY told the old one. A
 // file that can't be used changes nothing and is read again.
 func TestReload(t *testing.T) {
-	a, b := newApp(t, answer("200 OK", "", "a")), newApp(t, answer("200 OK", "", "b"))
-	older := newRegistry(t, serving("s-00000001", a.addr()))
-	newer := newRegistry(t, serving("s-00000002", b.addr()))
+	a, b := newApp(t, standin.Answer("200 OK", "", "a")), newApp(t, standin.Answer("200 OK", "", "b"))
+	older := newRegistry(t, serving("s-00000001", a.Addr()))
+	newer := newRegistry(t, serving("s-00000002", b.Addr()))
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func(discovery string) {
 		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"settings":%s}`, discovery, testSettings)
@@ -609,9 +610,9 @@
 			t.Error(err)
 		}
 	}
-	write(older.addr)
+	write(older.Addr())
 	cfg, err := LoadConfig(func(key string) string {
-		return map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": older.addr}[key]
+		return map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": older.Addr()}[key]
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -630,24 +631,24 @@
 	if _, body := ask(t, request(n.url, "lookup", patience)); body != "a" {
 		t.Errorf("%q while the new file can't be used", body)
 	}
-	write(newer.addr)
+	write(newer.Addr())
 	eventually(t, "an answer of the server that the new discovery lists", func() bool {
 		resp, body := ask(t, request(n.url, "lookup", patience))
 		return resp.StatusCode == 200 && body == "b"
 	})
-	calls := older.calls.Load()
-	older.set(false, serving("s-00000001", a.addr())) // an open watch would bring this
-	eventually(t, "a watch at the new address", func() bool { return newer.calls.Load() > 1 })
-	if _, body := ask(t, request(n.url, "lookup", patience)); body != "b" || older.calls.Load() != calls {
-		t.Errorf("%q; %d calls at the old address after the new one was told", body, older.calls.Load()-calls)
+	calls := older.Calls()
+	older.set(false, serving("s-00000001", a.Addr())) // an open watch would bring this
+	eventually(t, "a watch at the new address", func() bool { return newer.Calls() > 1 })
+	if _, body := ask(t, request(n.url, "lookup", patience)); body != "b" || older.Calls() != calls {
+		t.Errorf("%q; %d calls at the old address after the new one was told", body, older.Calls()-calls)
 	}
 }
 
 // While discovery is silent at the start, the known list has to do.
 func TestKnownListHasToDo(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
 	cfg := testConfig(t, refusing(t))
-	cfg.Known = &serverList{Rev: 4, All: true, Targets: []target{serving("s-00000001", a.addr())}}
+	cfg.Known = &serverList{Rev: 4, All: true, Targets: []target{serving("s-00000001", a.Addr())}}
 	n := start(t, cfg)
 	if resp, _ := ask(t, request(n.url, "lookup", patience)); resp.StatusCode != 200 {
 		t.Errorf("%d", resp.StatusCode)
--- a/internal/node/reuse_test.go
+++ b/internal/node/reuse_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/standin"
-	"pepperfall.example/pepperfall/internal/world"
 )
 
 func TestReuseVerdict(t *testing.T) {
@@ -70,7 +69,7 @@
 // nodeWithSockets starts an edge node that may hold so many descriptors.
 func nodeWithSockets(t *testing.T, sockets int, app string) *running {
 	t.Helper()
-	cfg := testConfig(t, newRegistry(t, serving("s-00000001", app)).addr)
+	cfg := testConfig(t, newRegistry(t, serving("s-00000001", app)).Addr())
 	cfg.Sockets = sockets
 	return start(t, cfg)
 }
@@ -101,11 +100,7 @@
 }
 
 func TestUnusedConnectionsMakeRoom(t *testing.T) {
-	app, err := standin.ServeRaw(world.Real{}, "127.0.0.1:0", standin.Answer("200 OK", "", "ok"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(app.Close)
+	app := newApp(t, standin.Answer("200 OK", "", "ok"))
 	r := nodeWithSockets(t, 80, app.Addr()) // clients have half: 40
 	if n := churn(t, r, 10, time.Millisecond); n > 0 {
 		t.Fatalf("%d connections ended with three quarters of the room free", n)
@@ -128,11 +123,7 @@
 
 // Clients that use their connections keep them, however short the room is.
 func TestUsedConnectionsStay(t *testing.T) {
-	app, err := standin.ServeRaw(world.Real{}, "127.0.0.1:0", standin.Answer("200 OK", "", "ok"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(app.Close)
+	app := newApp(t, standin.Answer("200 OK", "", "ok"))
 	r := nodeWithSockets(t, 64, app.Addr()) // clients have half: 32
 	var conns []*http.Transport
 	for range 28 {
--- /dev/null
+++ b/internal/node/send_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"pepperfall.example/pepperfall/policy"
+)
+
+// sending makes a loop with one open request of a class with a window.
+func sending(t *testing.T) (*loop, *call, time.Duration) {
+	t.Helper()
+	cfg := testConfig(t, "127.0.0.1:1")
+	g, err := policy.New(cfg.Settings, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clk := clock{time.Now()}
+	l := newLoop(clk, g, nil)
+	now := clk.now()
+	c := &call{Request: policy.Request{ID: 1}, class: &policy.Class{Name: "loan", Effect: policy.Keyed, Window: 2 * time.Second},
+		due: now + 10*time.Second, cmd: make(chan command, 1)}
+	l.calls[1] = c
+	return l, c, now
+}
+
+// A repeat of what may have run must be written while its rack still knows the
+// key: the window counts from when the first was asked for.
+func TestKeyedRepeatHasToBeWrittenInTheWindow(t *testing.T) {
+	l, c, now := sending(t)
+	l.send(policy.Send{ID: 1, Server: 1})
+	if a := (<-c.cmd).attempt; a.writeBy != c.due {
+		t.Errorf("a first attempt is to be written by %v, want the deadline, %v", a.writeBy-now, c.due-now)
+	}
+	c.out, c.ranAt = nil, now-time.Second
+	l.send(policy.Send{ID: 1, Server: 1})
+	if a := (<-c.cmd).attempt; a.writeBy != c.ranAt+2*time.Second || a.deadline != c.due {
+		t.Errorf("a repeat is to be written by %v and ends at %v, want 1s and %v", a.writeBy-now, a.deadline-now, c.due-now)
+	}
+	c.out, c.class = nil, &policy.Class{Name: "lookup"}
+	l.send(policy.Send{ID: 1, Server: 1})
+	if a := (<-c.cmd).attempt; a.writeBy != c.due {
+		t.Errorf("what may run any number of times is to be written by %v", a.writeBy-now)
+	}
+}
+
+// Nothing is sent once the final answer is decided, while another attempt is
+// out, or when no time is left; the module is told that it was moot.
+func TestNothingIsSentAfterTheAnswer(t *testing.T) {
+	for name, spoil := range map[string]func(*call, time.Duration){
+		"the answer is decided": func(c *call, _ time.Duration) { c.final = &command{} },
+		"an attempt is out":     func(c *call, _ time.Duration) { c.out = &attempt{} },
+		"its time is over":      func(c *call, now time.Duration) { c.due = now },
+	} {
+		l, c, now := sending(t)
+		spoil(c, now)
+		l.send(policy.Send{ID: 1, Server: 1})
+		select {
+		case cmd := <-c.cmd:
+			t.Errorf("%s: sent all the same: %+v", name, cmd)
+		default:
+		}
+		if o, ok := l.queue[0].(policy.Outcome); len(l.queue) != 1 || !ok || o.Code != policy.Moot {
+			t.Errorf("%s: the module is told %+v, want one moot outcome", name, l.queue)
+		}
+	}
+}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/standin"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -39,35 +39,35 @@
 // What comes back decides whether a request may be sent or refused again: a
 // code that wrongly proves 'never ran' would let an effect happen twice.
 func TestOutcomes(t *testing.T) {
-	raw := func(text string) func(net.Conn, *http.Request, string) bool {
-		return func(c net.Conn, _ *http.Request, _ string) bool {
+	raw := func(text string) func(net.Conn, *standin.Request) bool {
+		return func(c net.Conn, _ *standin.Request) bool {
 			_, _ = c.Write([]byte(text))
 			return false
 		}
 	}
-	stays := func(text string) func(net.Conn, *http.Request, string) bool {
-		return func(c net.Conn, _ *http.Request, _ string) bool {
+	stays := func(text string) func(net.Conn, *standin.Request) bool {
+		return func(c net.Conn, _ *standin.Request) bool {
 			_, _ = c.Write([]byte(text))
 			return true
 		}
 	}
 	for name, c := range map[string]struct {
-		do   func(net.Conn, *http.Request, string) bool
+		do   func(net.Conn, *standin.Request) bool
 		want policy.Code
 		kept bool // the connection can be used again
 	}{
-		"served":            {answer("200 OK", "", "hits"), policy.OK, true},
-		"served, then over": {answer("200 OK", "Connection: close\r\n", "hits"), policy.OK, false},
-		"served in chunks": {func(c net.Conn, _ *http.Request, _ string) bool {
+		"served":            {standin.Answer("200 OK", "", "hits"), policy.OK, true},
+		"served, then over": {standin.Answer("200 OK", "Connection: close\r\n", "hits"), policy.OK, false},
+		"served in chunks": {func(c net.Conn, _ *standin.Request) bool {
 			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n0\r\n\r\n"))
 			return true
 		}, policy.OK, true},
-		"error":            {answer("500 No", "", ""), policy.Error, true},
-		"turned away":      {answer("503 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
-		"over already":     {answer("504 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
-		"503 may have run": {answer("503 No", "", ""), policy.Error, true},
-		"504 may have run": {answer("504 No", "X-Not-Run: 0\r\n", ""), policy.Error, true},
-		"another 2xx":      {answer("202 Later", "", ""), policy.Error, true},
+		"error":            {standin.Answer("500 No", "", ""), policy.Error, true},
+		"turned away":      {standin.Answer("503 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
+		"over already":     {standin.Answer("504 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
+		"503 may have run": {standin.Answer("503 No", "", ""), policy.Error, true},
+		"504 may have run": {standin.Answer("504 No", "X-Not-Run: 0\r\n", ""), policy.Error, true},
+		"another 2xx":      {standin.Answer("202 Later", "", ""), policy.Error, true},
 		"break":            {raw(""), policy.Reset, false},
 		"break in headers": {raw("HTTP/1.1 200 OK\r\nContent-Le"), policy.Reset, false},
 		"break in body":    {raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhits"), policy.Reset, false},
@@ -96,11 +96,11 @@
 		"a copy behind":     {stays(strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhits", 2)), policy.OK, false},
 		"noise behind":      {stays("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhits\x88\xdb"), policy.OK, false},
 		"unreadable report": {stays("HTTP/1.1 200 OK\r\nX-Load: \xff=,NaN\r\nContent-Length: 4\r\n\r\nhits"), policy.OK, true},
-		"unfit request":     {answer("400 No", "", ""), policy.Moot, true},
+		"unfit request":     {standin.Answer("400 No", "", ""), policy.Moot, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := newApp(t, c.do)
-			u := pool(a.addr())
+			u := pool(a.Addr())
 			_, do := u.try(time.Minute)
 			r, body := do()
 			if r.code != c.want || r.code == policy.OK && body != "hits" {
@@ -109,7 +109,7 @@
 			if kept := len(u.servers[1].idle) == 1; kept != c.kept || u.open != len(u.servers[1].idle) {
 				t.Errorf("connection kept %v, want %v; %d counted as open", kept, c.kept, u.open)
 			}
-			if n := a.seen.Load(); n != 1 {
+			if n := a.Seen.Load(); n != 1 {
 				t.Errorf("written %d times", n)
 			}
 		})
@@ -128,23 +128,23 @@
 // A request that was written and not answered may run yet; its connection must
 // be closed before the module hears of it, or two attempts would be out.
 func TestTimeoutClosesFirst(t *testing.T) {
-	a := newApp(t, deaf)
-	u := pool(a.addr())
+	a := newApp(t, standin.Deaf)
+	u := pool(a.Addr())
 	_, do := u.try(50 * time.Millisecond)
 	r, _ := do()
 	if r.code != policy.TimedOut || u.open != 0 {
 		t.Errorf("code %d, %d open", r.code, u.open)
 	}
-	eventually(t, "the end of the connection", func() bool { return a.ended.Load() == 1 })
+	eventually(t, "the end of the connection", func() bool { return a.Ended.Load() == 1 })
 }
 
 // The same for an attempt that the module calls back.
 func TestCancelClosesFirst(t *testing.T) {
-	a := newApp(t, deaf)
-	u := pool(a.addr())
+	a := newApp(t, standin.Deaf)
+	u := pool(a.Addr())
 	at, do := u.try(time.Hour)
 	go func() {
-		for a.seen.Load() == 0 {
+		for a.Seen.Load() == 0 {
 			time.Sleep(time.Millisecond)
 		}
 		at.cancel()
@@ -153,17 +153,17 @@
 	if r.code != policy.Cancelled || u.open != 0 {
 		t.Errorf("code %d, %d open", r.code, u.open)
 	}
-	eventually(t, "the end of the connection", func() bool { return a.ended.Load() == 1 })
+	eventually(t, "the end of the connection", func() bool { return a.Ended.Load() == 1 })
 }
 
 // What is called back before it is written never ran.
 func TestCancelBeforeWriting(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", ""))
-	u := pool(a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", ""))
+	u := pool(a.Addr())
 	at, do := u.try(time.Hour)
 	at.cancel()
-	if r, _ := do(); !r.code.NeverRan() || a.seen.Load() != 0 {
-		t.Errorf("code %d after %d requests", r.code, a.seen.Load())
+	if r, _ := do(); !r.code.NeverRan() || a.Seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.code, a.Seen.Load())
 	}
 }
 
@@ -171,11 +171,11 @@
 // a reset, which costs a keyed request its further attempts.
 func TestNoticesCloseWhileIdle(t *testing.T) {
 	var answers atomic.Int32
-	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
-		answer("200 OK", "", "hits")(c, r, b)
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		standin.Answer("200 OK", "", "hits")(c, r)
 		return answers.Add(1) > 1
 	})
-	u := pool(a.addr())
+	u := pool(a.Addr())
 	_, do := u.try(patience)
 	do()
 	eventually(t, "the server's close on the idle connection", func() bool {
@@ -184,21 +184,21 @@
 		return len(u.servers[1].idle) == 1 && !alive(u.servers[1].idle[0])
 	})
 	_, do = u.try(patience)
-	if r, _ := do(); r.code != policy.OK || a.conns.Load() != 2 {
-		t.Errorf("code %d, %d connections", r.code, a.conns.Load())
+	if r, _ := do(); r.code != policy.OK || a.Accepted.Load() != 2 {
+		t.Errorf("code %d, %d connections", r.code, a.Accepted.Load())
 	}
 }
 
 // Connections are used again, newest first, and closed before the server does.
 func TestPoolReusesAndExpires(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	u := pool(a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	u := pool(a.Addr())
 	for range 3 {
 		_, do := u.try(patience)
 		do()
 	}
-	if a.conns.Load() != 1 {
-		t.Errorf("%d connections for requests one after another", a.conns.Load())
+	if a.Accepted.Load() != 1 {
+		t.Errorf("%d connections for requests one after another", a.Accepted.Load())
 	}
 	u.idleFor = 0
 	u.sweep()
@@ -211,17 +211,17 @@
 // must never be taken for the answer to the next request.
 func TestLateCopy(t *testing.T) {
 	copied := make(chan struct{})
-	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
-		answer("200 OK", "", "hits")(c, r, b)
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		standin.Answer("200 OK", "", "hits")(c, r)
 		<-copied
-		return answer("200 OK", "", "copy")(c, r, b)
+		return standin.Answer("200 OK", "", "copy")(c, r)
 	})
-	u := pool(a.addr())
+	u := pool(a.Addr())
 	u.rest = time.Hour
 	for i := range 2 {
 		_, do := u.try(patience)
-		if r, body := do(); r.code != policy.OK || body != "hits" || int(a.conns.Load()) != i+1 {
-			t.Errorf("code %d, %q, %d connections: an idle one did not rest", r.code, body, a.conns.Load())
+		if r, body := do(); r.code != policy.OK || body != "hits" || int(a.Accepted.Load()) != i+1 {
+			t.Errorf("code %d, %q, %d connections: an idle one did not rest", r.code, body, a.Accepted.Load())
 		}
 	}
 	close(copied)
@@ -232,8 +232,8 @@
 		return !alive(u.servers[1].idle[0]) && !alive(u.servers[1].idle[1])
 	})
 	_, do := u.try(patience)
-	if _, body := do(); body != "hits" || a.conns.Load() != 3 {
-		t.Errorf("%q, %d connections", body, a.conns.Load())
+	if _, body := do(); body != "hits" || a.Accepted.Load() != 3 {
+		t.Errorf("%q, %d connections", body, a.Accepted.Load())
 	}
 }
 
@@ -268,13 +268,13 @@
 // A connection past the age learned is not used again, though it seems alive.
 func TestOldConnectionsAreLeftWhenTheyBreak(t *testing.T) {
 	served := atomic.Int32{}
-	a := newApp(t, func(c net.Conn, r *http.Request, b string) bool {
+	a := newApp(t, func(c net.Conn, r *standin.Request) bool {
 		if served.Add(1)%2 == 0 { // the second request on a connection breaks it
 			return false
 		}
-		return answer("200 OK", "", "hits")(c, r, b)
+		return standin.Answer("200 OK", "", "hits")(c, r)
 	})
-	u := pool(a.addr())
+	u := pool(a.Addr())
 	for range 1000 {
 		_, do := u.try(patience)
 		do()
@@ -291,10 +291,10 @@
 	if u.ages.most(u.idleFor) > 200*time.Millisecond {
 		t.Fatalf("%v learned where those of 200ms break", u.ages.most(u.idleFor))
 	}
-	before := a.conns.Load()
+	before := a.Accepted.Load()
 	_, do := u.try(patience)
 	do()
-	if a.conns.Load() != before+1 {
+	if a.Accepted.Load() != before+1 {
 		t.Error("an old connection was used again")
 	}
 }
@@ -302,8 +302,8 @@
 // An idle connection outlives the deadline of the attempt before: taken for
 // dead, most connections would be dialled anew, at the app server's cost.
 func TestReusesAfterTheDeadlineBefore(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	u := pool(a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	u := pool(a.Addr())
 	at, do := u.try(time.Second)
 	if r, _ := do(); r.code != policy.OK {
 		t.Fatalf("code %d", r.code)
@@ -311,17 +311,17 @@
 	eventually(t, "the deadline", func() bool { return u.clock.now() > at.deadline })
 	u.sweep()
 	_, do = u.try(patience)
-	if r, _ := do(); r.code != policy.OK || a.conns.Load() != 1 {
-		t.Errorf("code %d, %d connections", r.code, a.conns.Load())
+	if r, _ := do(); r.code != policy.OK || a.Accepted.Load() != 1 {
+		t.Errorf("code %d, %d connections", r.code, a.Accepted.Load())
 	}
 }
 
 // New work to a server that drains is over when the grace is: a send decided
 // before, but delayed by its dial, must not be written after.
 func TestDrainedServerGetsNothing(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	u := pool(a.addr())
-	drains := serving("s-00000001", a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	u := pool(a.Addr())
+	drains := serving("s-00000001", a.Addr())
 	drains.State = "DRAINING"
 	u.update(&serverList{Targets: []target{drains}}, false)
 	if u.closed(1) {
@@ -329,21 +329,21 @@
 	}
 	u.servers[1].since -= u.grace
 	_, do := u.try(patience)
-	if r, _ := do(); r.code != policy.ConnectFailed || a.seen.Load() != 0 {
-		t.Errorf("code %d after %d requests", r.code, a.seen.Load())
+	if r, _ := do(); r.code != policy.ConnectFailed || a.Seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.code, a.Seen.Load())
 	}
 }
 
 // A server that is gone keeps no connections; its successor at another address
 // or with a new start gets none of the old ones.
 func TestConnectionsGoWithTheServer(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
 	for name, l := range map[string]*serverList{
 		"gone":      {Targets: nil},
-		"restarted": {Targets: []target{{UID: "s-00000001", Endpoint: a.addr(), State: "SERVING", BootMS: 5}}},
+		"restarted": {Targets: []target{{UID: "s-00000001", Endpoint: a.Addr(), State: "SERVING", BootMS: 5}}},
 		"moved":     {Targets: []target{serving("s-00000001", "127.0.0.1:1")}},
 	} {
-		u := pool(a.addr())
+		u := pool(a.Addr())
 		_, do := u.try(patience)
 		do()
 		if u.open != 1 {
@@ -359,28 +359,28 @@
 // A keyed repeat that is written after the servers have forgotten the first
 // would run twice; a dial can take that long.
 func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	u := pool(a.addr())
+	a := newApp(t, standin.Answer("200 OK", "", "hits"))
+	u := pool(a.Addr())
 	at, do := u.try(patience)
 	at.writeBy = at.sent
-	if r, _ := do(); r.code != policy.ConnectFailed || a.seen.Load() != 0 {
-		t.Errorf("code %d after %d requests", r.code, a.seen.Load())
+	if r, _ := do(); r.code != policy.ConnectFailed || a.Seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.code, a.Seen.Load())
 	}
 }
 
 // The descriptors are bounded: idle connections to others make room first.
 func TestConnectionBound(t *testing.T) {
-	a, b := newApp(t, answer("200 OK", "", "hits")), newApp(t, deaf)
-	u := pool(a.addr())
+	a, b := newApp(t, standin.Answer("200 OK", "", "hits")), newApp(t, standin.Deaf)
+	u := pool(a.Addr())
 	u.most = 1
-	u.update(&serverList{Targets: []target{serving("s-00000002", b.addr())}}, false)
+	u.update(&serverList{Targets: []target{serving("s-00000002", b.Addr())}}, false)
 	_, do := u.try(patience)
 	do()
 	at, do := u.try(time.Hour)
 	at.server = 2
 	done := make(chan result)
 	go func() { r, _ := do(); done <- r }()
-	eventually(t, "the request at the second server", func() bool { return b.seen.Load() == 1 })
+	eventually(t, "the request at the second server", func() bool { return b.Seen.Load() == 1 })
 	_, do = u.try(patience)
 	if r, _ := do(); r.code != policy.ConnectFailed {
 		t.Errorf("code %d over the bound", r.code)
--- a/internal/standin/agent.go
+++ b/internal/standin/agent.go
@@ -129,6 +129,7 @@
 	calls  int
 	known  map[string]bool // uids told to the edge node and not gone since
 	broken string          // what it answers instead, when not empty
+	status int             // what it answers with no list, when not 0
 }
 
 // StartAgent opens the agent of an edge node at an address.
@@ -173,6 +174,9 @@
 // Break makes it answer with status 200 and these bytes; empty ends that.
 func (a *Agent) Break(body string) { a.set(func() { a.broken = body }) }
 
+// Fail makes it answer with a status and no list; 0 ends that.
+func (a *Agent) Fail(status int) { a.set(func() { a.status = status }) }
+
 // ServeHTTP answers a call or a watch.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
@@ -195,8 +199,12 @@
 	}
 	for {
 		a.mu.Lock()
-		lag, silent, wake, broken := a.lag, a.silent, a.wake, a.broken
+		lag, silent, wake, broken, status := a.lag, a.silent, a.wake, a.broken, a.status
 		a.mu.Unlock()
+		if status != 0 {
+			w.WriteHeader(status)
+			return
+		}
 		if broken != "" {
 			_, _ = w.Write([]byte(broken))
 			return
--- /dev/null
+++ b/policy/bounds_test.go
@@ -0,0 +1,62 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// What is lent of a ceiling is on its way for a while. Until it has arrived the
+// lender's part must not fill up again over it: lender, way and borrower
+// together would hold more than the ceiling.
+func TestLentPartDoesNotFillAtOnce(t *testing.T) {
+	s := base()
+	s.Plans = []Plan{{Name: "hard", HardRate: 100, HardBurst: 20}}
+	w := newWorld(t, s, fleet(8))
+	w.now += time.Second
+	w.spend(1, "hard")
+	w.pass(time.Second) // the part, 10, is full again
+	w.hear(1, 1, 1, true)
+	c := w.g.customers[keyOf("c")]
+	if len(c.set) != 1 || c.ceiling < 9.9 {
+		t.Fatalf("%d peers, a part of %.1f: want 1 and 10", len(c.set), c.ceiling)
+	}
+	c.set[0].rate = 400 // what the peer asks, over demandSpan
+	w.g.lend(c, 50*ms)
+	lent := c.lent
+	if lent < 2 {
+		t.Fatalf("%.2f lent: the test asks for too little", lent)
+	}
+	c.set[0].rate = 0
+	for range 4 {
+		w.g.now += 50 * ms // 2.5 units come in this time
+		w.g.lend(c, 50*ms)
+	}
+	if most := 10 - lent/3; c.ceiling > most {
+		t.Errorf("the part is at %.2f, 0.2 s after %.2f of 10 were lent: %.2f at most", c.ceiling, lent, most)
+	}
+	for range 40 {
+		w.g.now += 50 * ms
+		w.g.lend(c, 50*ms)
+	}
+	if c.ceiling < 9.9 {
+		t.Errorf("the part is at %.2f 2 s later: what has arrived is held back", c.ceiling)
+	}
+}
+
+// A root that has just started presumes less than a whole store: it can't know
+// what the one before it has granted.
+func TestFreshRootGrantsLessThanAStore(t *testing.T) {
+	w := newCrowd(t, 300, fleet(40))
+	g := w.gs[0]
+	if !g.tree {
+		t.Fatal("300 gateways report from all to all")
+	}
+	roots, _ := g.roots(g.account(keyOf("k"), g.plans["rate"], 0, 200))
+	root := roots[0]
+	for i := range 60 {
+		w.request(root, RequestID(i+1), "k", "rate", "safe", 200)
+	}
+	if n := len(w.sends); n < 1 || n > 9 {
+		t.Errorf("%d of 60 passed at once at a root that has just started, of a store of 10", n)
+	}
+}
