--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -338,3 +338,22 @@
 		t.Errorf("code %d: %s", code, &out)
 	}
 }
+
+func TestCommandLine(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"demo"}, ExitConfig, "only serve is known here"},
+		{[]string{"serve", "--oprator", "x"}, ExitConfig, "oprator"},
+		{[]string{"serve", "x"}, ExitConfig, `unexpected "x"`},
+		{[]string{"serve", "--help"}, 0, "operator"},
+		{[]string{"serve", "--operator", "/nonexistent"}, ExitConfig, "no such file"},
+	} {
+		var out bytes.Buffer
+		if code := Main(c.args, &out); code != c.code || !strings.Contains(out.String(), c.says) {
+			t.Errorf("%q: code %d, %q; want %d, %q", c.args, code, &out, c.code, c.says)
+		}
+	}
+}
