Share cores between slots in the stand-in loan servers; end a failed check with code 2

Need: stand-ins lacked slots, and kong wraps a command's error, so that a check that found faults ended with code 1.

Change: internal/standin/engine.go works requests in slots at the same time, sharing the cores, and queues the rest in order; exit codes are looked for inside wrapped errors.

--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -26,10 +27,11 @@
 
 // commands are all that the program can be told to do.
 type commands struct {
-	Serve serveCommand `cmd:"" help:"Run one edge node."`
-	Check checkCommand `cmd:"" help:"Check operator and fleet files."`
-	Fleet fleetCommand `cmd:"" help:"Run many edge nodes, and change them in service."`
-	Demo  demoCommand  `cmd:"" help:"Show a whole installation at work on this machine."`
+	Serve  serveCommand  `cmd:"" help:"Run one edge node."`
+	Check  checkCommand  `cmd:"" help:"Check operator and fleet files."`
+	Fleet  fleetCommand  `cmd:"" help:"Run many edge nodes, and change them in service."`
+	Routes routesCommand `cmd:"" help:"Read OpenAPI descriptions as the edge node does."`
+	Demo   demoCommand   `cmd:"" help:"Show a whole installation at work on this machine."`
 }
 
 // output is where commands write.
@@ -44,9 +46,9 @@
 	if len(args) == 0 {
 		return daemon.Run(daemon.Options{Stderr: errs})
 	}
-	var c commands
+	var all commands
 	exit := -1
-	parser, err := kong.New(&c, kong.Name("pepperfall"), kong.Description(
+	parser, err := kong.New(&all, kong.Name("pepperfall"), kong.Description(
 		"An edge node for quota-keeping gateways. Without arguments it runs one edge node as the platform tells it by GW_CONFIG.\n\n"+
 			"Example:\n  pepperfall demo --instances 3 --seconds 20"),
 		kong.Writers(out, errs), kong.Exit(func(n int) { exit = n }), kong.Bind(output{out, errs}), kong.UsageOnError(),
@@ -63,15 +65,16 @@
 		fmt.Fprintln(errs, "pepperfall:", err)
 		return exitUsage
 	}
-	switch err := ctx.Run().(type) {
-	case nil:
+	err = ctx.Run()
+	var c code
+	switch {
+	case err == nil:
 		return 0
-	case code:
-		return int(err)
-	default:
-		fmt.Fprintln(errs, "pepperfall:", err)
-		return exitFailed
+	case errors.As(err, &c):
+		return int(c)
 	}
+	fmt.Fprintln(errs, "pepperfall:", err)
+	return exitFailed
 }
 
 type serveCommand struct {
--- a/internal/standin/loan.go
+++ b/internal/standin/loan.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pepperfall.example/pepperfall/internal/audit"
@@ -19,7 +20,8 @@
 	Addr            string        // default 127.0.0.1:0
 	Cores           int           // default 1
 	Speed           float64       // core milliseconds done in a millisecond of one core; default 1
-	Queue           int           // requests that wait for a core; more are turned away; default 64
+	Slots           int           // requests in work at once, which share the cores; default 4 a core
+	Queue           int           // requests that wait for a slot; more are turned away; default 64
 	Connections     int           // held at once, more are reset; default 256
 	IdleFor         time.Duration // after which an idle connection is closed; default 15 s
 	Handshake       time.Duration // that the first request of a connection waits
@@ -44,10 +46,8 @@
 	raw      *Raw
 	addr     string
 	state    audit.State
-	slow     float64     // times slower than configured
-	free     []time.Time // when each core is free
-	begins   []time.Time // when each request that waits will be begun
-	started  time.Time   // of this process; zero: long ago
+	tempo    atomic.Pointer[tempo]
+	engine   *engine
 	fallen   bool
 	arrivals []arrival // while cold, within FallTime
 	ran      int
@@ -57,6 +57,12 @@
 	stop     chan struct{}
 }
 
+// tempo is what its pace follows from, beside its configuration.
+type tempo struct {
+	slow    float64   // times slower than configured
+	started time.Time // of this process; zero: long ago
+}
+
 type arrival struct {
 	at   time.Time
 	work time.Duration
@@ -73,6 +79,7 @@
 		cfg.Addr = "127.0.0.1:0"
 	}
 	def(&cfg.Cores, 1)
+	def(&cfg.Slots, 4*cfg.Cores)
 	def(&cfg.Queue, 64)
 	def(&cfg.Connections, 256)
 	if cfg.Speed == 0 {
@@ -92,7 +99,8 @@
 	if cfg.Work == nil {
 		cfg.Work = func(*Request) time.Duration { return 2 * time.Millisecond }
 	}
-	l := &LoanServer{site: s, cfg: cfg, slow: 1}
+	l := &LoanServer{site: s, cfg: cfg}
+	l.tempo.Store(&tempo{slow: 1})
 	s.notary.Note(audit.Rack{Server: cfg.UID, Rack: cfg.Rack})
 	return l, l.listen(cfg.Addr)
 }
@@ -104,9 +112,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.raw, l.addr, l.free, l.fallen, l.arrivals = raw, raw.Addr(), make([]time.Time, l.cfg.Cores), false, nil
-	l.begins = nil
+	l.raw, l.addr, l.fallen, l.arrivals = raw, raw.Addr(), false, nil
 	l.stop = make(chan struct{})
+	l.engine = newEngine(l.site.world, l.cfg.Cores, l.cfg.Slots, l.cfg.Queue, l.pace)
+	e, stop := l.engine, l.stop
+	raw.wg.Go(func() { e.run(stop) })
 	return nil
 }
 
@@ -118,8 +128,8 @@
 	if n, err := strconv.Atoi(l.cfg.Rack); err == nil {
 		t.Group = n
 	}
-	if !l.started.IsZero() {
-		t.BootMS = float64(l.started.UnixMilli())
+	if at := l.tempo.Load().started; !at.IsZero() {
+		t.BootMS = float64(at.UnixMilli())
 	}
 	return t
 }
@@ -142,7 +152,7 @@
 // Slow makes it so many times slower than it is.
 func (l *LoanServer) Slow(times float64) {
 	l.mu.Lock()
-	l.slow = times
+	l.tempo.Store(&tempo{times, l.tempo.Load().started})
 	l.mu.Unlock()
 }
 
@@ -169,7 +179,8 @@
 func (l *LoanServer) Restart() error {
 	l.Kill()
 	l.mu.Lock()
-	l.state, l.started = audit.Serving, l.site.world.Now()
+	l.state = audit.Serving
+	l.tempo.Store(&tempo{l.tempo.Load().slow, l.site.world.Now()})
 	l.mu.Unlock()
 	if l.cfg.Warm > 0 {
 		full := float64(l.cfg.Cores) * l.cfg.Speed
@@ -180,36 +191,16 @@
 
 // share is the part of its capacity that it has at a time.
 func (l *LoanServer) share(now time.Time) float64 {
-	if l.started.IsZero() || l.cfg.Warm <= 0 {
+	at := l.tempo.Load().started
+	if at.IsZero() || l.cfg.Warm <= 0 {
 		return 1
 	}
-	return min(1, l.cfg.ColdShare+(1-l.cfg.ColdShare)*now.Sub(l.started).Seconds()/l.cfg.Warm.Seconds())
+	return min(1, l.cfg.ColdShare+(1-l.cfg.ColdShare)*now.Sub(at).Seconds()/l.cfg.Warm.Seconds())
 }
 
-// admit finds when a request would be done; it is false when the queue is
-// full or the server drains. Requests are begun in the order they came.
-func (l *LoanServer) admit(now time.Time, work time.Duration) (done time.Time, ok bool) {
-	if l.state != audit.Serving {
-		return time.Time{}, false
-	}
-	l.begins = slices.DeleteFunc(l.begins, func(t time.Time) bool { return !t.After(now) })
-	if len(l.begins) >= l.cfg.Queue {
-		return time.Time{}, false
-	}
-	first := 0
-	for i, t := range l.free {
-		if t.Before(l.free[first]) {
-			first = i
-		}
-	}
-	begin := now
-	if l.free[first].After(begin) {
-		begin = l.free[first]
-		l.begins = append(l.begins, begin)
-	}
-	took := time.Duration(float64(work) * l.slow / (l.cfg.Speed * l.share(now)))
-	l.free[first] = begin.Add(took)
-	return l.free[first], true
+// pace is what one core does at a time, in core seconds a second.
+func (l *LoanServer) pace(now time.Time) float64 {
+	return l.cfg.Speed * l.share(now) / l.tempo.Load().slow
 }
 
 // pushed takes in what a cold server is sent and tells whether it falls over.
@@ -255,10 +246,13 @@
 	if falls {
 		l.fallen = true
 	}
-	var done time.Time
+	var j *job
 	ok := !l.fallen && stop != nil && fault != NotRun503 && fault != NotRun504 && fault != ResetUnrun && fault != SilentUnrun
 	if ok {
-		done, ok = l.admit(now, work)
+		if l.state == audit.Serving {
+			j = l.engine.admit(work)
+		}
+		ok = j != nil
 	}
 	load := l.load(now)
 	l.mu.Unlock()
@@ -284,11 +278,13 @@
 		return NoFault.write(c, status, "X-Not-Run: 1\r\n"+load, "")
 	}
 	fresh := key == "" || l.site.claim(l.cfg.Rack, key, l.cfg.Window)
-	if wait := done.Sub(now); r.Nth == 1 {
-		done = now.Add(wait + l.cfg.Handshake)
+	if r.Nth == 1 && !l.wait(now.Add(l.cfg.Handshake), stop) {
+		return false
 	}
-	if !l.wait(done, stop) {
+	select {
+	case <-stop:
 		return false
+	case <-j.done:
 	}
 	if fresh {
 		l.mu.Lock()
@@ -356,13 +352,7 @@
 	l.lately = append(l.lately, now)
 	l.lately = slices.DeleteFunc(l.lately, func(t time.Time) bool { return now.Sub(t) > time.Second })
 	if l.report == "" || now.Sub(l.reported) >= l.cfg.ReportEvery {
-		busy := 0
-		for _, t := range l.free {
-			if t.After(now) {
-				busy++
-			}
-		}
-		l.report = fmt.Sprintf("X-Load: TEXT util=%.2f, qps=%d\r\n", float64(busy)/float64(len(l.free)), len(l.lately))
+		l.report = fmt.Sprintf("X-Load: TEXT util=%.2f, qps=%d\r\n", l.engine.busy(), len(l.lately))
 		l.reported = now
 	}
 	return l.report
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -283,3 +283,30 @@
 		t.Errorf("%v: want silence", err)
 	}
 }
+
+// Requests in slots share the cores, those beyond wait in order, and a full
+// queue turns away.
+func TestCoresSlotsAndQueue(t *testing.T) {
+	e := newEngine(world.Real{}, 1, 2, 1, func(time.Time) float64 { return 1 })
+	stop := make(chan struct{})
+	var run sync.WaitGroup
+	run.Go(func() { e.run(stop) })
+	defer run.Wait()
+	defer close(stop)
+	long, short, waits := e.admit(300*time.Millisecond), e.admit(30*time.Millisecond), e.admit(time.Millisecond)
+	if e.admit(time.Millisecond) != nil {
+		t.Error("a full queue took one more")
+	}
+	for _, j := range []*job{short, waits, long} { // the shorter ones end first though the long one began first
+		select {
+		case <-j.done:
+		case <-time.After(20 * time.Second):
+			t.Fatal("never done")
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.working)+len(e.waiting) > 0 {
+		t.Errorf("%d in work and %d waiting at the end", len(e.working), len(e.waiting))
+	}
+}
