Stop the description's fuzz test at a text that takes over 10 s to read

Need: a hostile description must end in an error, not in a loop.

Change: a watchdog in the fuzz target.

--- a/internal/openapi/load_test.go
+++ b/internal/openapi/load_test.go
@@ -148,6 +148,8 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
+		late := time.AfterFunc(10*time.Second, func() { panic("a text is read for over 10 s") })
+		defer late.Stop()
 		d, err := Load("f", text, defaults)
 		if _, ok := err.(Faults); err != nil && !ok || (d == nil) != (err != nil) {
 			t.Errorf("%v, %T", d, err)
