Test that an attempt whose sender hung up is not out any more

Need: nothing failed when the stand-ins' look at ended connections was taken out, though the audit's rule on two attempts out rests on it.

Change: a test that ends an attempt and sends the next at once, on 20 pairs.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -310,3 +310,35 @@
 		t.Errorf("%d in work and %d waiting at the end", len(e.working), len(e.waiting))
 	}
 }
+
+// An attempt whose connection its sender has ended is not out any more when
+// the next one comes, though its server has not looked yet.
+func TestEndedAttemptsAreNotOut(t *testing.T) {
+	settings := SiteSettings(1)
+	ledger := audit.NewLedger(world.Real{}, settings.AuditRules(0))
+	site := NewSite(world.Real{}, ledger)
+	var addrs []string
+	for i := range 2 {
+		l, err := site.StartLoan(LoanConfig{UID: fmt.Sprint("s", i), Cores: 16, Work: func(*Request) time.Duration { return time.Hour }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Kill()
+		addrs = append(addrs, l.Target().Endpoint)
+	}
+	ledger.Note(audit.Asked{Request: "r", Node: "n0", Class: "holdings-lookup", Deadline: time.Hour})
+	for i := range 20 {
+		c, err := net.Dial("tcp", addrs[i%2])
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n\r\n")
+		for end := time.Now().Add(10 * time.Second); ledger.Seen() < 4+i*2 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond) // until the attempt is noted
+		}
+		c.Close()
+	}
+	if b := ledger.Breaks(); len(b) > 0 {
+		t.Errorf("%d breaks, first: %v", len(b), b[0])
+	}
+}
