--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -69,8 +69,8 @@
 	if err != nil {
 		t := r.node.Tuning()
 		t.Refused = operator.GenerationOf(text)
-		r.node.Tune(t)
 		slog.Error("operator file passed over; the old one stays in force", "in_force", r.force.Generation, "refused", t.Refused, "err", err)
+		r.node.Tune(t) // healthz tells of it once the cause is in the log
 		return
 	}
 	old := r.force
