--- a/policy/api.go
+++ b/policy/api.go
@@ -116,6 +116,7 @@
 	First     int           // the customer comes in through Spread gateways, at least
 	Spread    int           // one, counted round from First; this one is among them
 	Retry     bool          // the client marked it as a repeat
+	Effect    Effect        // asks for more care than its class does; less counts for nothing
 }
 
 // Started tells that the answer of a streamed class has begun.
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -175,7 +175,7 @@
 		cl = &class{Class: Class{Aim: ev.Remaining, Effect: Unsafe}, mean: g.mean}
 	}
 	g.advance(c)
-	r := &request{id: ev.ID, c: c, cl: cl, units: ev.Units, arrived: g.now, repeat: ev.Retry,
+	r := &request{id: ev.ID, c: c, cl: cl, effect: max(cl.Effect, ev.Effect), units: ev.Units, arrived: g.now, repeat: ev.Retry,
 		deadline: g.now + ev.Remaining}
 	g.reqs[r.id], c.seen = r, g.now
 	return r
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -148,7 +148,7 @@
 
 // requestOf makes the request that another gateway asks for.
 func (g *Gateway) requestOf(c *customer, from int, m ask) *request {
-	return &request{c: c, cl: g.classes[g.set.Classes[m.Class].Name], units: float64(m.Units), arrived: g.now,
+	return &request{c: c, cl: g.classes[g.set.Classes[m.Class].Name], effect: g.set.Classes[m.Class].Effect, units: float64(m.Units), arrived: g.now,
 		deadline: g.now + time.Duration(m.Left)*time.Millisecond, repeat: m.Repeat, remote: true, root: from,
 		tag: m.Tag}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -377,7 +377,7 @@
 		g.sendRate++
 	}
 	var timeout time.Duration
-	if !g.set.CanCancel && r.cl.Effect == Safe && !r.cl.Stream {
+	if !g.set.CanCancel && r.effect == Safe && !r.cl.Stream {
 		timeout = max(r.cl.Aim*3/5, r.deadline-g.now-r.cl.Aim)
 	}
 	g.do(Send{ID: r.id, Server: s.ID, Timeout: timeout})
@@ -388,7 +388,7 @@
 func (g *Gateway) refuse(r *request) {
 	if r.remote {
 		g.answer(r, refused)
-	} else if r.ran && r.cl.Effect != Safe && !(r.cl.Effect == Keyed && r.cl.Group == GroupAll) {
+	} else if r.ran && r.effect != Safe && !(r.effect == Keyed && r.cl.Group == GroupAll) {
 		g.do(Fail{ID: r.id})
 	} else {
 		g.do(Refuse{ID: r.id, RetryAfter: g.advice(r)})
@@ -426,7 +426,7 @@
 	if g.set.MaxAttempts > 0 && r.attempts >= g.set.MaxAttempts {
 		return false
 	}
-	if r.ran && (r.cl.Effect == Unsafe || r.cl.Effect == Keyed && g.now-r.ranAt >= r.cl.Window) {
+	if r.ran && (r.effect == Unsafe || r.effect == Keyed && g.now-r.ranAt >= r.cl.Window) {
 		return false
 	}
 	if g.now+time.Duration(r.cl.mean/2*float64(time.Second)) > r.deadline {
@@ -496,7 +496,7 @@
 	if s.State != Running || g.now < s.fullAt[r.c.plan] {
 		return false
 	}
-	if r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
+	if r.ran && r.effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
 		return false
 	}
 	if cold := g.coldness(s); cold < 1 {
@@ -526,7 +526,7 @@
 		}
 		if v := g.record(s, r.cl); v != nil && v.bad && g.now < v.until {
 			// Its watcher alone tries a server that is out of use.
-			if s.watchers[0] == g.set.Me && g.now >= v.trial && r.attempts == 0 && r.cl.Effect != Unsafe {
+			if s.watchers[0] == g.set.Me && g.now >= v.trial && r.attempts == 0 && r.effect != Unsafe {
 				v.wait = min(2*v.wait+trialEvery, trialMost)
 				v.trial = g.now + v.wait
 				return s
@@ -637,7 +637,7 @@
 		}
 		r.quit = true
 		g.sight(s, r.cl, TimedOut, g.now-r.sentAt)
-		if g.set.CanCancel && r.cl.Effect == Safe && g.budget >= 1 &&
+		if g.set.CanCancel && r.effect == Safe && g.budget >= 1 &&
 			(g.set.MaxAttempts == 0 || r.attempts < g.set.MaxAttempts) {
 			g.do(Cancel{ID: r.id, Attempt: r.attempts - 1})
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -107,6 +107,7 @@
 	id       RequestID
 	c        *customer
 	cl       *class
+	effect   Effect // the more careful of its class's and its own
 	units    float64
 	arrived  time.Duration
 	deadline time.Duration
