--- a/cmd/pepperfall/check.go
+++ b/cmd/pepperfall/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 
@@ -13,6 +14,7 @@
 
 type checkCommand struct {
 	Files []string `arg:"" type:"path" name:"file" help:"Operator or fleet files."`
+	Most  float64  `name:"most-units" default:"6" help:"The settings' largest, for an operator file alone."`
 	Kind  string   `enum:"auto,operator,fleet" default:"auto" help:"What the files are: ${enum}."`
 }
 
@@ -32,9 +34,9 @@
 		}
 		var err error
 		if kind == "fleet" {
-			_, err = fleet.Load(path)
+			err = c.fleet(o, path)
 		} else {
-			_, err = operator.Load(path)
+			err = c.operator(o, path)
 		}
 		if err != nil {
 			bad = true
@@ -49,6 +51,30 @@
 	return nil
 }
 
+// fleet checks a fleet file and all that it names, the route book too.
+func (c *checkCommand) fleet(o output, path string) error {
+	l, err := fleet.Load(path)
+	if err != nil {
+		return err
+	}
+	warnings, err := l.ReadBook(context.Background(), compiler())
+	if warnings != "" {
+		fmt.Fprintln(o.err, warnings)
+	}
+	return err
+}
+
+// operator checks an operator file and the description or book that it names.
+func (c *checkCommand) operator(o output, path string) error {
+	l, err := operator.Load(path)
+	if err != nil || !l.Routes.On() {
+		return err
+	}
+	s := source{Operator: path, MostUnits: c.Most}
+	_, err = s.read(o, "")
+	return err
+}
+
 // kindOf tells a fleet file by the keys that only it has.
 func kindOf(path string) string {
 	text, err := conffile.Read(path)
--- a/cmd/pepperfall/demo.go
+++ b/cmd/pepperfall/demo.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
+	"pepperfall.example/pepperfall/deploy"
 	"pepperfall.example/pepperfall/internal/demo"
 	"pepperfall.example/pepperfall/internal/world"
 )
@@ -19,6 +21,7 @@
 	Load      float64 `default:"1" help:"Multiplies what the libraries ask."`
 	Churn     float64 `default:"0" help:"Share of the requests that open a connection of their own."`
 	SlackMS   int     `default:"250" help:"By how much the audit widens each limit in time, for a busy machine."`
+	OpenAPI   string  `name:"openapi" placeholder:"FILE" help:"Serve an OpenAPI description to ordinary clients and swap it on the way; 'catalogue' is the built-in deploy/catalogue.yaml."`
 	Keep      bool    `help:"Keep the folder with the fleet's files and logs."`
 }
 
@@ -26,7 +29,7 @@
 func (demoCommand) Help() string {
 	return "Brings up stand-ins for loan servers, discovery and clients, and a supervised fleet; kills and reloads instances on the way; " +
 		"ends with what became of the requests and the audit's verdict. Ends with code 1 if a rule was broken.\n\n" +
-		"Example:\n  pepperfall demo --instances 5 --seconds 30"
+		"Example:\n  pepperfall demo --instances 5 --seconds 30\n  pepperfall demo --openapi catalogue"
 }
 
 // Run plays the demo.
@@ -47,11 +50,18 @@
 	} else {
 		defer os.RemoveAll(dir)
 	}
+	description := c.OpenAPI
+	if description == "catalogue" {
+		description = filepath.Join(dir, "given.yaml")
+		if err := os.WriteFile(description, deploy.Catalogue, 0o600); err != nil {
+			return err
+		}
+	}
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer end()
 	rep, err := demo.Run(ctx, demo.Options{Instances: c.Instances, Length: time.Duration(c.Seconds * float64(time.Second)), Seed: c.Seed,
 		Dir: dir, Program: program, Out: o.out, World: world.Real{}, Slack: time.Duration(c.SlackMS) * time.Millisecond, Load: c.Load,
-		Churn: c.Churn})
+		Churn: c.Churn, Description: description, Compile: compiler()})
 	if err != nil {
 		return err
 	}
--- a/cmd/pepperfall/fleet.go
+++ b/cmd/pepperfall/fleet.go
@@ -13,6 +13,7 @@
 	"text/tabwriter"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/bookmaker"
 	"pepperfall.example/pepperfall/internal/conffile"
 	"pepperfall.example/pepperfall/internal/fleet"
 	"pepperfall.example/pepperfall/internal/world"
@@ -49,10 +50,11 @@
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	err := fleet.Run(stop, c.File, hup, fleet.Options{World: world.Real{}, Log: slog.New(slog.NewTextHandler(o.err, nil)),
-		Seed: uint64(time.Now().UnixNano())})
+		Seed: uint64(time.Now().UnixNano()), Compile: compiler()})
 	var faults conffile.Faults
 	var fault conffile.Fault
-	if errors.As(err, &faults) || errors.As(err, &fault) {
+	var wrong *bookmaker.Faults
+	if errors.As(err, &faults) || errors.As(err, &fault) || errors.As(err, &wrong) {
 		fmt.Fprintln(o.err, err)
 		return code(exitUsage)
 	}
@@ -97,27 +99,36 @@
 
 // Run prints the state.
 func (c *fleetStatus) Run(o output) error {
+	st, err := statusOf(o, c.File)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		e := json.NewEncoder(o.out)
+		e.SetIndent("", " ")
+		return e.Encode(st)
+	}
+	return table(o.out, st)
+}
+
+// statusOf asks a fleet's supervisor for its state.
+func statusOf(o output, file string) (*fleet.Status, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), statusLimit)
 	defer cancel()
 	var st *fleet.Status
-	n, err := fleet.Tell(ctx, world.Real{}, c.File, "status", func(l fleet.Line) {
+	n, err := fleet.Tell(ctx, world.Real{}, file, "status", func(l fleet.Line) {
 		if l.Status != nil {
 			st = l.Status
 		}
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		fmt.Fprintln(o.err, "pepperfall:", err)
-		return code(max(n, exitFailed))
-	}
-	if st == nil {
-		return errors.New("the supervisor told no state")
-	}
-	if c.JSON {
-		e := json.NewEncoder(o.out)
-		e.SetIndent("", " ")
-		return e.Encode(st)
+		return nil, code(max(n, exitFailed))
+	case st == nil:
+		return nil, errors.New("the supervisor told no state")
 	}
-	return table(o.out, st)
+	return st, nil
 }
 
 func table(out io.Writer, st *fleet.Status) error {
@@ -126,6 +137,12 @@
 		fmt.Fprintf(out, ", a %s is on", st.Rolling)
 	}
 	fmt.Fprintln(out)
+	if st.Book != "" {
+		fmt.Fprintf(out, "route book %s\n", st.Book)
+	}
+	if st.Pending != nil {
+		fmt.Fprintln(out, st.Pending)
+	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "NAME\tLISTEN\tPID\tPHASE\tFOR\tGENERATION\tDEATHS\tLAST DEATH")
 	for _, i := range st.Instances {
--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +14,9 @@
 
 	"github.com/alecthomas/kong"
 
+	"pepperfall.example/pepperfall/internal/bookmaker"
 	"pepperfall.example/pepperfall/internal/daemon"
+	"pepperfall.example/pepperfall/internal/operator"
 )
 
 // Exit codes beyond those of package daemon.
@@ -31,6 +34,7 @@
 	Check  checkCommand  `cmd:"" help:"Check operator and fleet files."`
 	Fleet  fleetCommand  `cmd:"" help:"Run many edge nodes, and change them in service."`
 	Routes routesCommand `cmd:"" help:"Read OpenAPI descriptions as the edge node does."`
+	Key    keyCommand    `cmd:"" help:"Give libraries API keys, and withdraw them."`
 	Demo   demoCommand   `cmd:"" help:"Show a whole installation at work on this machine."`
 }
 
@@ -77,8 +81,18 @@
 	return exitFailed
 }
 
+// compiler has descriptions compiled by this program, in a process of its own.
+func compiler() func(context.Context, *operator.Loaded, float64) ([]byte, string, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return func(context.Context, *operator.Loaded, float64) ([]byte, string, error) { return nil, "", err }
+	}
+	return (&bookmaker.Child{Program: program}).Compile
+}
+
 type serveCommand struct {
 	Operator     string `type:"path" placeholder:"FILE" help:"Operator file; without it all is as the platform has it."`
+	Book         string `type:"path" placeholder:"FILE" help:"Compiled route book, instead of what the operator file names."`
 	InstanceLock string `type:"path" placeholder:"FILE" help:"Lock that makes this process a named instance of a fleet."`
 }
 
@@ -89,7 +103,7 @@
 
 // Run serves until SIGTERM.
 func (c *serveCommand) Run(o output) error {
-	if n := daemon.Run(daemon.Options{Operator: c.Operator, Lock: c.InstanceLock, Stderr: o.err}); n != 0 {
+	if n := daemon.Run(daemon.Options{Operator: c.Operator, Book: c.Book, Lock: c.InstanceLock, Stderr: o.err, Compile: compiler()}); n != 0 {
 		return code(n)
 	}
 	return nil
--- a/cmd/pepperfall/routes.go
+++ b/cmd/pepperfall/routes.go
@@ -4,11 +4,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
+	"path/filepath"
 	"strings"
 	"text/tabwriter"
 
+	"pepperfall.example/pepperfall/internal/bookfile"
+	"pepperfall.example/pepperfall/internal/conffile"
 	"pepperfall.example/pepperfall/internal/openapi"
+	"pepperfall.example/pepperfall/internal/operator"
 	"pepperfall.example/pepperfall/internal/routebook"
 )
 
@@ -17,6 +20,8 @@
 	List    routesList    `cmd:"" help:"List the routes of a description."`
 	Explain routesExplain `cmd:"" help:"Tell what a request costs, whether it may run again, and which line decided."`
 	Diff    routesDiff    `cmd:"" help:"Compare two revisions of a description."`
+	Compile routesCompile `cmd:"" help:"Write the compiled book of a description."`
+	Pending routesPending `cmd:"" help:"Tell which revision of a fleet's book waits to be accepted, and why."`
 }
 
 // Help shows an example.
@@ -24,32 +29,60 @@
 	return "Example:\n  pepperfall routes explain catalogue.yaml GET /v1/holdings?limit=20"
 }
 
-// defaults are what holds for operations that declare nothing.
-type defaults struct {
-	LookupClass string  `default:"holdings-lookup" help:"Class of operations that are safe to repeat."`
-	LoanClass   string  `default:"loan-request" help:"Class of all others."`
-	Units       float64 `default:"1" help:"Units of an operation that declares none."`
-	MostUnits   float64 `default:"6" help:"The settings' largest."`
+// source is what a book is read from, and what holds where nothing is said.
+type source struct {
+	Operator  string  `type:"path" placeholder:"FILE" help:"Operator file whose section routes holds defaults, bounds and routes by hand."`
+	Base      string  `type:"path" placeholder:"DIR" help:"Folder that the operator file's paths are relative to; else its own."`
+	MostUnits float64 `default:"6" help:"The settings' largest."`
+	Strict    bool    `help:"Make faults of warnings."`
 }
 
-func (d defaults) read(path string) (*openapi.Description, *routebook.Book, error) {
-	st, err := os.Stat(path)
-	if err != nil {
-		return nil, nil, err
+// load reads the operator file, or takes the defaults for a description of no
+// installation. file goes before what the operator file names.
+func (d *source) load(file string) (l *operator.Loaded, err error) {
+	l = &operator.Loaded{File: operator.Default(), Path: file}
+	if d.Operator != "" {
+		if l, err = operator.Load(d.Operator); err != nil {
+			return nil, err
+		}
+		if d.Base != "" {
+			l.Path = filepath.Join(d.Base, filepath.Base(d.Operator))
+		}
 	}
-	if st.Size() > openapi.MostBytes {
-		return nil, nil, fmt.Errorf("%s: %d bytes; %d at most are read", path, st.Size(), openapi.MostBytes)
+	l.Routes.Strict = l.Routes.Strict || d.Strict
+	if file != "" {
+		l.Routes.Book, l.Routes.Description = "", file
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, nil, err
+	if !l.Routes.On() {
+		return nil, errors.New("neither a description nor an operator file with routes")
 	}
-	desc, err := openapi.Load(path, text, openapi.Defaults{LookupClass: d.LookupClass, LoanClass: d.LoanClass, Units: d.Units, MostUnits: d.MostUnits})
+	return l, nil
+}
+
+// read compiles a description, or decodes a book. Warnings go to standard error.
+func (d *source) read(o output, file string) (*routebook.Book, error) {
+	l, err := d.load(file)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
+	}
+	var text []byte
+	if path := l.Source(); path != "" {
+		if text, err = conffile.ReadUpTo(path, max(l.Routes.MostMB<<20, bookfile.MostBytes)); err != nil {
+			return nil, err
+		}
+		if bookfile.Is(text) {
+			return bookfile.Decode(text, bookfile.Full)
+		}
+	}
+	return d.compile(o, l, text)
+}
+
+func (d *source) compile(o output, l *operator.Loaded, text []byte) (*routebook.Book, error) {
+	book, warnings, err := openapi.Compile(l, text, d.MostUnits)
+	for _, w := range warnings {
+		fmt.Fprintln(o.err, "warning:", w)
 	}
-	book, err := routebook.Compile(desc.Version, desc.Routes)
-	return desc, book, err
+	return book, err
 }
 
 // faulty prints what is wrong with a file and gives the exit code.
@@ -59,28 +92,28 @@
 }
 
 type routesCheck struct {
-	File     string `arg:"" type:"path" help:"OpenAPI description."`
-	defaults `embed:""`
+	File   string `arg:"" type:"path" help:"OpenAPI description, or compiled book."`
+	source `embed:""`
 }
 
 // Run reads the description.
 func (c *routesCheck) Run(o output) error {
-	desc, book, err := c.read(c.File)
+	book, err := c.read(o, c.File)
 	if err != nil {
 		return faulty(o, err)
 	}
-	fmt.Fprintf(o.out, "%s: %s %s, %d routes, no fault\n", c.File, desc.Title, desc.Version, len(book.Routes()))
+	fmt.Fprintf(o.out, "%s: %s %s, %d routes, no fault\n", c.File, book.Title, book.Version, len(book.Routes()))
 	return nil
 }
 
 type routesList struct {
-	File     string `arg:"" type:"path" help:"OpenAPI description."`
-	defaults `embed:""`
+	File   string `arg:"" type:"path" help:"OpenAPI description, or compiled book."`
+	source `embed:""`
 }
 
 // Run prints a table.
 func (c *routesList) Run(o output) error {
-	_, book, err := c.read(c.File)
+	book, err := c.read(o, c.File)
 	if err != nil {
 		return faulty(o, err)
 	}
@@ -93,15 +126,15 @@
 }
 
 type routesExplain struct {
-	File     string `arg:"" type:"path" help:"OpenAPI description."`
-	Method   string `arg:"" help:"Method."`
-	Path     string `arg:"" help:"Path, with a query if there is one."`
-	defaults `embed:""`
+	File   string `arg:"" type:"path" help:"OpenAPI description, or compiled book."`
+	Method string `arg:"" help:"Method."`
+	Path   string `arg:"" help:"Path, with a query if there is one."`
+	source `embed:""`
 }
 
 // Run explains one request.
 func (c *routesExplain) Run(o output) error {
-	_, book, err := c.read(c.File)
+	book, err := c.read(o, c.File)
 	if err != nil {
 		return faulty(o, err)
 	}
@@ -124,19 +157,19 @@
 }
 
 type routesDiff struct {
-	Old      string `arg:"" type:"path" help:"Description in force."`
-	New      string `arg:"" type:"path" help:"Its revision."`
-	JSON     bool   `name:"json" help:"Print JSON."`
-	defaults `embed:""`
+	Old    string `arg:"" type:"path" help:"Description in force."`
+	New    string `arg:"" type:"path" help:"Its revision."`
+	JSON   bool   `name:"json" help:"Print JSON."`
+	source `embed:""`
 }
 
 // Run compares.
 func (c *routesDiff) Run(o output) error {
-	_, old, err := c.read(c.Old)
+	old, err := c.read(o, c.Old)
 	if err != nil {
 		return faulty(o, err)
 	}
-	_, revised, err := c.read(c.New)
+	revised, err := c.read(o, c.New)
 	if err != nil {
 		return faulty(o, err)
 	}
--- a/internal/audit/capacity.go
+++ b/internal/audit/capacity.go
@@ -23,7 +23,11 @@
 	}
 	s.units = min(p.Burst, s.units+p.Rate*(j.now-s.at).Seconds())
 	s.at = j.now
-	s.units -= r.asked.Units
+	units := r.asked.Units
+	if r.book != "" {
+		units = r.units // the book's word
+	}
+	s.units -= units
 	s.lowest = max(s.lowest, (p.Burst-s.units)/p.Burst)
 	if least := -p.Slack - p.Rate*CeilingSpan.Seconds(); s.units < least {
 		j.fault(Break{Rule: CeilingKept, Request: r.id, Server: r.attempts[0].Server, Node: r.attempts[0].Node,
--- a/internal/audit/event.go
+++ b/internal/audit/event.go
@@ -18,6 +18,8 @@
 	Key      string // the same with every try of one loan; empty where none is sent
 	Units    float64
 	Deadline time.Duration // how long the client waits, from now
+
+	Operation, Query string // of an ordinary client's request
 }
 
 // Unasked takes Asked back: its last byte could not be written.
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -20,6 +20,7 @@
 	stores   map[string]*store // of ceilings, by customer
 	dying    map[string]bool
 	killed   map[string]time.Duration // when an edge node was last ended outright
+	books    books
 	breaks   []Break
 }
 
@@ -35,6 +36,8 @@
 	charged  bool
 	attempts []*sent
 	late     bool
+	book     string // the revision that it was read under; empty: none was told
+	units    float64
 }
 
 type sent struct {
@@ -66,7 +69,7 @@
 func NewJudge(r Rules) *Judge {
 	return &Judge{rules: r, requests: map[string]*request{}, keys: map[string]effect{}, told: map[[2]string]word{},
 		racks: map[string]string{}, cold: map[string]*cold{}, stores: map[string]*store{},
-		dying: map[string]bool{}, killed: map[string]time.Duration{}}
+		books: newBooks(), dying: map[string]bool{}, killed: map[string]time.Duration{}}
 }
 
 // Breaks returns all breaks found so far, in the order in which they were.
@@ -129,6 +132,16 @@
 		j.cold[ev.Server] = &cold{Started: ev, at: j.now}
 	case Fell:
 		j.fell(ev)
+	case ReadAs:
+		if r := j.requests[ev.Request]; r != nil {
+			j.read(r, ev)
+		}
+	case Revised:
+		j.books.costs[ev.Revision] = ev
+	case Swapping:
+		j.books.force[ev.Node] = append(j.books.force[ev.Node], reign{revision: ev.Revision, from: j.now})
+	case Swapped:
+		j.books.swapped(ev, j.now)
 	case Unasked:
 		if r := j.requests[ev.Request]; r != nil && !r.over {
 			r.excused = true
@@ -270,7 +283,7 @@
 // refused judges an answer that says that a further try is harmless.
 func (j *Judge) refused(r *request, status int) {
 	c := j.rules.Classes[r.asked.Class]
-	if c.Effect == Safe || c.Effect == Keyed && !c.Racked {
+	if e := j.effect(r, c); e == Safe || e == Keyed && !c.Racked {
 		return
 	}
 	for _, a := range r.attempts {
@@ -317,14 +330,15 @@
 		return
 	}
 	c := j.rules.Classes[r.asked.Class]
+	effect := j.effect(r, c)
 	for _, e := range r.attempts {
-		if e.notRun || c.Effect == Safe {
+		if e.notRun || effect == Safe {
 			continue
 		}
 		b := Break{Rule: NoDoubleEffect, Request: r.id, Server: a.Server, Node: a.Node}
 		age := j.now - e.at
 		switch {
-		case c.Effect == Unsafe:
+		case effect == Unsafe:
 			b.Why = "sent again after it may have run at " + e.Server
 		case c.Racked && j.racks[e.Server] != j.racks[a.Server]:
 			b.Why = fmt.Sprintf("sent to rack %s after it may have run in rack %s", j.racks[a.Server], j.racks[e.Server])
--- a/internal/audit/judge_test.go
+++ b/internal/audit/judge_test.go
@@ -180,3 +180,54 @@
 		t.Errorf("%d requests kept after 1,000 s with a memory of 60 s", n)
 	}
 }
+
+// What a request was read as is judged by the revisions that were in force when
+// it could be read.
+func TestBooks(t *testing.T) {
+	of := func(units float64, repeat Effect) func(string, string) (Cost, bool) {
+		return func(op, query string) (Cost, bool) { return Cost{units, repeat}, op == "place" }
+	}
+	begin := []at{{0, Rack{"a", "1"}}, {0, Rack{"b", "1"}}, {0, Revised{"r1", of(1, Keyed)}}, {0, Revised{"r2", of(3, Unsafe)}}, {0, Swapping{"n0", "r1"}}, {0, Swapped{"n0", "r1"}},
+		{100, Swapping{"n0", "r2"}}, {110, Swapped{"n0", "r2"}}}
+	q := ask("x", "loan")
+	q.Units, q.Operation = 0, "place"
+	other := q
+	other.Operation = "gone"
+	serve := func(from int, rev string, units float64) []at {
+		return []at{{from, q}, {from + 1, ReadAs{"x", "a", rev, units}}, {from + 1, sentTo("x", "a")}, {from + 2, Ended{"x", "a"}}, {from + 2, ReadAs{"x", "", rev, units}}, {from + 2, Answered{"x", 200, true}}}
+	}
+	twice := func(rev string, units float64) []at {
+		return []at{{200, q}, {201, ReadAs{"x", "a", rev, units}}, {201, sentTo("x", "a")}, {202, Ended{"x", "a"}}, {203, ReadAs{"x", "b", rev, units}}, {203, sentTo("x", "b")}, {204, Ended{"x", "b"}}, {205, Answered{"x", 502, false}}}
+	}
+	early := func(rev string, units float64) []at {
+		list := twice(rev, units)
+		for i := range list {
+			list[i].ms -= 190
+		}
+		return list
+	}
+	for _, c := range []struct {
+		name   string
+		events []at
+		rule   Rule // 0: clean
+	}{
+		{"the old book before the swap", serve(50, "r1", 1), 0},
+		{"the new one after it", serve(120, "r2", 3), 0},
+		{"read before the swap, sent after", []at{{99, q}, {120, ReadAs{"x", "a", "r1", 1}}, {120, sentTo("x", "a")}, {121, Ended{"x", "a"}}, {121, Answered{"x", 200, true}}}, 0},
+		{"either while it swaps", serve(105, "r1", 1), 0},
+		{"the old one after the swap", serve(120, "r1", 1), ChargedByBook},
+		{"the new one before it", serve(50, "r2", 3), ChargedByBook},
+		{"another cost", serve(120, "r2", 1), ChargedByBook},
+		{"an operation that it has not", []at{{120, other}, {121, ReadAs{"x", "a", "r2", 3}}, {121, sentTo("x", "a")}, {122, Ended{"x", "a"}}, {122, Answered{"x", 200, true}}}, ChargedByBook},
+		{"two books for one request", []at{{99, q}, {99, ReadAs{"x", "a", "r1", 1}}, {99, sentTo("x", "a")}, {120, Ended{"x", "a"}}, {120, ReadAs{"x", "", "r2", 3}}, {120, Answered{"x", 200, true}}}, ChargedByBook},
+		{"sent again as its book lets it", early("r1", 1), 0},
+		{"sent again though its book says never", twice("r2", 3), NoDoubleEffect},
+	} {
+		events := append(slices.Clone(begin), c.events...)
+		slices.SortStableFunc(events, func(a, b at) int { return a.ms - b.ms })
+		breaks := judge(rules, events)
+		if c.rule == 0 && len(breaks) > 0 || c.rule != 0 && (len(breaks) == 0 || breaks[0].Rule != c.rule) {
+			t.Errorf("%s: %v, want %v", c.name, breaks, c.rule)
+		}
+	}
+}
--- a/internal/audit/rules.go
+++ b/internal/audit/rules.go
@@ -50,17 +50,18 @@
 // Rule names one of the five rules.
 type Rule int
 
-// The five rules.
+// The five rules, and what a route book adds.
 const (
 	OneAnswer Rule = iota + 1
 	NoDoubleEffect
 	DrainKept
 	ColdSpared
 	CeilingKept
+	ChargedByBook // where requests are read under a route book: by one revision, in force then, at its cost
 )
 
 var ruleNames = map[Rule]string{OneAnswer: "one final answer", NoDoubleEffect: "no double effect",
-	DrainKept: "drains kept", ColdSpared: "cold servers spared", CeilingKept: "ceilings kept"}
+	DrainKept: "drains kept", ColdSpared: "cold servers spared", CeilingKept: "ceilings kept", ChargedByBook: "charged by its book"}
 
 func (r Rule) String() string { return ruleNames[r] }
 
--- a/internal/conffile/bounds.go
+++ b/internal/conffile/bounds.go
@@ -14,7 +14,8 @@
 //	Kind string `toml:"kind" one:"a b c" when:"start"`
 //
 // min and max bound numbers and the length of strings and arrays; one lists the
-// words that a string may be; when says whether a change takes effect at once
+// words that a string may be; log:"no" keeps a value out of what changes are
+// told with; when says whether a change takes effect at once
 // (live) or needs a restart (start).
 
 // walk visits every field that holds a value, in the order of the struct.
@@ -106,7 +107,7 @@
 // Diff compares two values of one file's struct. Whatever is not marked as
 // live needs a restart.
 func Diff(old, new any) (list []Change) {
-	type value struct{ text, when string }
+	type value struct{ text, told, when string }
 	collect := func(v any) (keys []string, vals map[string]value) {
 		vals = map[string]value{}
 		walk("", reflect.ValueOf(v), "", func(key string, v reflect.Value, tag reflect.StructTag) {
@@ -118,7 +119,7 @@
 				text = fmt.Sprintf("%d entries", v.Len())
 			}
 			keys = append(keys, key)
-			vals[key] = value{text, tag.Get("when")}
+			vals[key] = value{text, told(text, tag), tag.Get("when")}
 		})
 		return keys, vals
 	}
@@ -126,17 +127,25 @@
 	is, b := collect(new)
 	for _, key := range was {
 		if n, ok := b[key]; !ok || n.text != a[key].text {
-			list = append(list, Change{key, a[key].text, orGone(n.text, ok), a[key].when != "live"})
+			list = append(list, Change{key, a[key].told, orGone(n.told, ok), a[key].when != "live"})
 		}
 	}
 	for _, key := range is {
 		if _, ok := a[key]; !ok {
-			list = append(list, Change{key, "none", b[key].text, b[key].when != "live"})
+			list = append(list, Change{key, "none", b[key].told, b[key].when != "live"})
 		}
 	}
 	return list
 }
 
+// told is a value as it may stand in a log.
+func told(text string, tag reflect.StructTag) string {
+	if tag.Get("log") == "no" {
+		return "(not told)"
+	}
+	return text
+}
+
 func orGone(text string, ok bool) string {
 	if !ok {
 		return "none"
--- a/internal/conffile/decode.go
+++ b/internal/conffile/decode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strconv"
 	"strings"
@@ -21,24 +22,39 @@
 // Read reads a file of at most MostBytes that is not empty: an empty one is a
 // write that has only begun.
 func Read(path string) ([]byte, error) {
-	st, err := os.Stat(path)
+	text, err := ReadUpTo(path, MostBytes)
+	if err != nil {
+		return nil, err
+	}
+	if len(bytes.TrimSpace(text)) == 0 {
+		return nil, Fault{File: path, Text: "empty; a file that wants nothing but defaults holds a comment that says so"}
+	}
+	return text, nil
+}
+
+// ReadUpTo reads a regular file of at most so many bytes, with room for all of
+// it made at once. Its errors are Faults.
+func ReadUpTo(path string, most int) ([]byte, error) {
+	f, err := os.Open(path)
 	if err != nil {
 		return nil, Fault{File: path, Text: plain(err)}
 	}
-	if st.Size() > MostBytes {
-		return nil, Fault{File: path, Text: fmt.Sprintf("%d bytes; %d at most are read", st.Size(), MostBytes)}
+	defer f.Close()
+	st, err := f.Stat()
+	if err != nil {
+		return nil, Fault{File: path, Text: plain(err)}
 	}
 	if !st.Mode().IsRegular() {
 		return nil, Fault{File: path, Text: "not a regular file"}
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
+	text := bytes.NewBuffer(make([]byte, 0, min(st.Size(), int64(most))+bytes.MinRead))
+	if _, err := text.ReadFrom(io.LimitReader(f, int64(most)+1)); err != nil { // it may grow meanwhile
 		return nil, Fault{File: path, Text: plain(err)}
 	}
-	if len(bytes.TrimSpace(text)) == 0 {
-		return nil, Fault{File: path, Text: "empty; a file that wants nothing but defaults holds a comment that says so"}
+	if n := max(int64(text.Len()), st.Size()); n > int64(most) {
+		return nil, Fault{File: path, Text: fmt.Sprintf("%d bytes; %d at most are read", n, most)}
 	}
-	return text, nil
+	return text.Bytes(), nil
 }
 
 func plain(err error) string {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,8 @@
 type Options struct {
 	Operator string              // path of the operator file; empty: none
 	Lock     string              // path of the instance's lock; empty: none
+	Book     string              // path of the compiled book, where a supervisor puts it; empty: what the operator file says
+	Compile  Compile             // of descriptions; nil: only compiled books are read
 	Getenv   func(string) string // nil: os.Getenv
 	Stderr   io.Writer           // nil: os.Stderr
 	Clock    world.Clock         // nil: the machine's
@@ -77,6 +79,15 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(file.Process.MemoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
+	var books *books
+	var tuning node.Tuning
+	if loaded != nil {
+		books = newBooks(&o, cfg)
+		if tuning, err = books.tuning(context.Background(), loaded); err != nil {
+			fmt.Fprintf(o.Stderr, "pepperfall: operator file:\n%v\n", err)
+			return ExitConfig
+		}
+	}
 	n, err := node.New(cfg)
 	if err != nil {
 		fmt.Fprintln(o.Stderr, "pepperfall:", err)
@@ -86,9 +97,9 @@
 	defer cancel()
 	pass := hup
 	if loaded != nil {
-		n.Tune(TuningOf(loaded))
+		n.Tune(tuning)
 		pass = make(chan os.Signal, 1)
-		r := &reloader{node: n, clock: o.Clock, path: o.Operator, force: loaded}
+		r := &reloader{node: n, clock: o.Clock, path: o.Operator, force: loaded, books: books}
 		ctx, end := context.WithCancel(context.Background())
 		defer end()
 		go r.run(ctx, hup, pass)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -95,6 +95,7 @@
 	}
 	settings := standin.SiteSettings(1)
 	settings.Caps["peers"] = false
+	settings.Plans = append(settings.Plans, standin.Plan{Name: "free"})
 	config, err := json.Marshal(map[string]any{"name": "n0", "listen": free, "discovery": agent.Addr(), "seed": "1",
 		"limits": map[string]any{"memory_mb": 128, "sockets": 512}, "settings": settings})
 	if err != nil {
--- a/internal/daemon/lock.go
+++ b/internal/daemon/lock.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"strconv"
 	"strings"
@@ -84,3 +85,11 @@
 	}
 	return readPID(f), true
 }
+
+// inode tells one file under a name from the next.
+func inode(st fs.FileInfo) uint64 {
+	if s, ok := st.Sys().(*syscall.Stat_t); ok {
+		return s.Ino
+	}
+	return 0
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -36,22 +36,43 @@
 	clock world.Clock
 	path  string
 	force *operator.Loaded
+	books *books
 }
 
 // run handles each signal and passes it on to the node, which reads the
 // platform's configuration anew.
+//
+// Where the operator file says so, a new description or book is taken without
+// a signal.
 func (r *reloader) run(ctx context.Context, hup <-chan os.Signal, pass chan<- os.Signal) {
+	seen := "" // the first look reads all once more: a file may have changed since it was read
 	for {
+		var due <-chan time.Time
+		stop := func() bool { return true }
+		if r.books.watched(r.force) {
+			t := r.clock.NewTimer(time.Duration(r.force.Routes.WatchMS) * time.Millisecond)
+			due, stop = t.C(), t.Stop
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-due:
+			if is := r.books.look(r.force); is != seen && is != "" {
+				seen = is
+				r.reload(ctx)
+			}
 		case s := <-hup:
 			select {
 			case pass <- s:
 			default: // one is waiting already
 			}
+			was, is := r.force, r.books.look(r.force)
 			r.reload(ctx)
+			if seen = is; r.force != was {
+				seen = "" // the files may be others: they are looked at once more
+			}
 		}
+		stop()
 	}
 }
 
@@ -66,6 +87,13 @@
 			err = fmt.Errorf("%s: %s: needs a restart to change; nothing of the file is taken over", r.path, strings.Join(keys, ", "))
 		}
 	}
+	var t node.Tuning
+	if err == nil {
+		t, err = r.books.tuning(ctx, next)
+	}
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		t := r.node.Tuning()
 		t.Refused = operator.GenerationOf(text)
@@ -75,7 +103,7 @@
 	}
 	old := r.force
 	r.force = next
-	r.node.Tune(TuningOf(next))
+	r.node.Tune(t)
 	for _, c := range conffile.Diff(old.File, next.File) {
 		slog.Info("operator file: changed", "key", c.Key, "old", c.Old, "new", c.New)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -59,8 +59,9 @@
 	loans  []*standin.LoanServer
 	agents []*standin.Agent
 	front  *standin.Front
-	file   string // the fleet file
-	addr   string // of all instances
+	file   string     // the fleet file
+	books  *catalogue // nil: no description is served
+	addr   string     // of all instances
 	begun  time.Time
 
 	mu     sync.Mutex
@@ -81,7 +82,7 @@
 	}
 	r := &rig{Options: o, begun: o.World.Now()}
 	defer r.close()
-	if err := r.build(); err != nil {
+	if err := r.build(ctx); err != nil {
 		return rep, err
 	}
 	logFile, err := os.OpenFile(filepath.Join(o.Dir, "supervisor.log"), os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
@@ -94,7 +95,7 @@
 	supervised := make(chan error, 1)
 	go func() {
 		supervised <- fleet.Run(stop, r.file, nil, fleet.Options{World: o.World, Seed: o.Seed,
-			Log: slog.New(slog.NewTextHandler(logFile, nil))})
+			Log: slog.New(slog.NewTextHandler(logFile, nil)), Compile: o.Compile})
 	}()
 	defer func() {
 		end()
@@ -113,8 +114,11 @@
 }
 
 // build opens all stand-ins and writes the fleet's files.
-func (r *rig) build() error {
+func (r *rig) build(ctx context.Context) error {
 	settings := standin.SiteSettings(r.Instances)
+	if r.Description != "" {
+		settings.Family["largest"] = mostUnits
+	}
 	r.ledger = audit.NewLedger(r.World, settings.AuditRules(r.Slack))
 	r.site = standin.NewSite(r.World, r.ledger)
 	var list []standin.Target
@@ -144,8 +148,23 @@
 		discovery = append(discovery, a.Addr())
 		nodes = append(nodes, standin.NodeAddr{Name: name, Addr: fmt.Sprintf("%s:%d", r.addr, firstPort+i)})
 	}
+	clients := customers(r.Instances, r.Load)
+	var asks []standin.Operation
+	if r.Description != "" {
+		if err := r.open(ctx); err != nil {
+			return err
+		}
+		for i := range clients {
+			clients[i].APIKey = keyOf(clients[i].Key)
+		}
+		if asks = r.books.asked(); len(asks) == 0 {
+			return fmt.Errorf("%s: no operation that the demo's clients could ask", r.Description)
+		}
+		r.reign(0, false)
+		r.reign(0, true)
+	}
 	var err error
-	if r.front, err = r.site.NewFront(standin.FrontConfig{Nodes: nodes, Customers: customers(r.Instances, r.Load), Settings: settings,
+	if r.front, err = r.site.NewFront(standin.FrontConfig{Nodes: nodes, Customers: clients, Asks: asks, Settings: settings,
 		Seed: r.Seed, Retries: 1, Backoff: 50 * time.Millisecond, Honour: 0.7, HangUp: 0.005, Churn: r.Churn}); err != nil {
 		return err
 	}
@@ -153,7 +172,6 @@
 	r.file = filepath.Join(r.Dir, "fleet.toml")
 	for name, text := range map[string]string{
 		"settings.json": string(settings.JSON()),
-		"operator.toml": operatorText(10000),
 		"fleet.toml": fmt.Sprintf(`name = "demo"
 state_dir = "state"
 binary = %q
@@ -184,7 +202,10 @@
 			return err
 		}
 	}
-	return nil
+	if r.books != nil {
+		return nil // with its description
+	}
+	return os.WriteFile(filepath.Join(r.Dir, "operator.toml"), []byte(operatorText(10000)), 0o600)
 }
 
 func operatorText(idleMS int) string {
@@ -235,6 +256,10 @@
 	case KillInstance:
 		r.kill(ctx, st.What)
 	case ReloadFleet:
+		if r.books != nil {
+			r.swap(ctx)
+			return
+		}
 		r.mu.Lock()
 		n := len(r.report.Orders)
 		err := os.WriteFile(filepath.Join(r.Dir, "operator.toml"), []byte(operatorText(9000-10*n)), 0o600)
@@ -276,8 +301,8 @@
 	r.say("%s %s", st.Do, l.Target().UID)
 }
 
-// order gives an order to the fleet and waits for its end.
-func (r *rig) order(ctx context.Context, op string) {
+// order gives an order to the fleet, waits for its end and returns its code.
+func (r *rig) order(ctx context.Context, op string) (code int) {
 	ctx, end := context.WithTimeout(ctx, orderLimit)
 	defer end()
 	began := r.World.Now()
@@ -296,6 +321,7 @@
 	r.mu.Lock()
 	r.report.Orders = append(r.report.Orders, OrderReport{op, took, code, last})
 	r.mu.Unlock()
+	return code
 }
 
 // kill ends an instance outright and waits until it takes clients again.
@@ -313,6 +339,7 @@
 	}
 	defer func() { _ = p.Release() }()
 	r.ledger.Note(audit.Dying{Node: name})
+	r.front.Dying(name)
 	began := r.World.Now()
 	if now, held := daemon.Holder(lock); !held || now != pid {
 		r.ledger.Note(audit.Killed{Node: name})
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/bookfile"
 	"pepperfall.example/pepperfall/internal/daemon"
+	"pepperfall.example/pepperfall/internal/openapi"
+	"pepperfall.example/pepperfall/internal/operator"
 	"pepperfall.example/pepperfall/internal/world"
 )
 
@@ -22,10 +25,7 @@
 // The test binary stands in for the program in the processes that it starts.
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
-		fs := flag.NewFlagSet("serve", flag.ExitOnError)
-		op, lock := fs.String("operator", "", ""), fs.String("instance-lock", "", "")
-		_ = fs.Parse(os.Args[2:])
-		os.Exit(daemon.Run(daemon.Options{Operator: *op, Lock: *lock}))
+		os.Exit(daemon.Main(os.Args[1:], os.Stderr))
 	}
 	os.Setenv(asProgram, "1")
 	os.Exit(m.Run())
@@ -101,3 +101,40 @@
 		t.Errorf("%d lost, %d served, %d orders", rep.Tally.Lost, rep.Tally.Served, len(rep.Orders))
 	}
 }
+
+// The example description is served to ordinary clients while its costs are
+// swapped, instances are killed and loan servers come and go: every request is
+// charged by the book that it was read under.
+func TestDescription(t *testing.T) {
+	compile := func(_ context.Context, l *operator.Loaded, most float64) ([]byte, string, error) {
+		text, err := os.ReadFile(l.Beside(l.Routes.Description))
+		if err != nil {
+			return nil, "", err
+		}
+		b, _, err := openapi.Compile(l, text, most)
+		if err != nil {
+			return nil, "", err
+		}
+		out, err := bookfile.Encode(b)
+		return out, "", err
+	}
+	rep := play(t, Options{Instances: 3, Length: 8 * time.Second, Load: 1, Description: "../../deploy/catalogue.yaml", Compile: compile,
+		Steps: []Step{{0.1, ReloadFleet, 0}, {0.3, KillInstance, 0}, {0.4, ReloadFleet, 0}, {0.5, DrainServer, 1}, {0.6, RestartServer, 1}, {0.7, ReloadFleet, 0}}})
+	for _, o := range rep.Orders {
+		if o.Code != 0 {
+			t.Errorf("%s ended with code %d: %s", o.Op, o.Code, o.Last)
+		}
+	}
+	books := map[string]bool{}
+	for name, o := range rep.Tally.Operations {
+		if o.Served == 0 || o.Charged == 0 {
+			t.Errorf("%s: %+v", name, *o)
+		}
+		for b := range o.Books {
+			books[b] = true
+		}
+	}
+	if len(books) != 2 || len(rep.Orders) != 3 || rep.Killed != 1 || len(rep.Tally.Operations) != 5 {
+		t.Errorf("read under %v, %d orders, %d killed: the demo did not do what the test is for", books, len(rep.Orders), rep.Killed)
+	}
+}
--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/daemon"
 	"pepperfall.example/pepperfall/internal/standin"
 )
 
@@ -20,6 +21,9 @@
 	Slack     time.Duration // by which the audit widens limits in time
 	Load      float64       // multiplies the customers' rates; 0: 1
 	Churn     float64       // share of the requests that open a connection of their own
+
+	Description string         // OpenAPI file that is served to ordinary clients; empty: the platform's front asks
+	Compile     daemon.Compile // of it
 }
 
 // Step is something that happens on the way.
--- a/internal/demo/pair_test.go
+++ b/internal/demo/pair_test.go
@@ -17,6 +17,9 @@
 	"testing"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/bookfile"
+	"pepperfall.example/pepperfall/internal/keyring"
+	"pepperfall.example/pepperfall/internal/routebook"
 	"pepperfall.example/pepperfall/internal/standin"
 	"pepperfall.example/pepperfall/internal/world"
 )
@@ -25,6 +28,7 @@
 	pairOld  = flag.String("pair.old", "", "program to compare against")
 	pairNew  = flag.String("pair.new", "", "program to compare")
 	pairRuns = flag.Int("pair.runs", 5, "runs of each, in turn")
+	pairHow  = flag.String("pair.how", "", "how the new program reads requests: empty, as the platform has it; front or keys, under a book")
 	pairFor  = flag.Duration("pair.for", 8*time.Second, "length of a run")
 )
 
@@ -37,7 +41,7 @@
 	}
 	var ratios []float64
 	for range *pairRuns {
-		a, b := measure(t, *pairOld), measure(t, *pairNew)
+		a, b := measure(t, *pairOld, ""), measure(t, *pairNew, *pairHow)
 		ratios = append(ratios, b.perRequest/a.perRequest)
 		t.Logf("old %s; new %s; ratio %.3f", a, b, b.perRequest/a.perRequest)
 	}
@@ -58,8 +62,38 @@
 		u.loaded, u.start.Milliseconds())
 }
 
+// bookOf writes an operator file and a book for a program that reads requests
+// under one, and returns the file's path.
+func bookOf(t *testing.T, how string, libraries []standin.Customer) string {
+	t.Helper()
+	one := routebook.Units{Base: 1, Most: 1}
+	b, err := routebook.Compile("", []routebook.Route{
+		{Operation: "search", Method: "GET", Template: "/holdings-lookup", Class: "holdings-lookup", Repeat: routebook.Safe, Units: one, Place: "f:1"},
+		{Operation: "place", Method: "POST", Template: "/loan-request", Class: "loan-request", Repeat: routebook.Keyed, Units: one, Place: "f:2"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Keys = []routebook.KeyPlace{{In: "header", Name: "X-Api-Key"}}
+	text, err := bookfile.Encode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	salt := keyring.Salt("0123456789abcdef")
+	file := fmt.Sprintf("[routes]\nbook = \"the.book\"\nclients = %q\n[keys]\nsalt = \"%x\"\n", how, []byte(salt))
+	for _, l := range libraries {
+		file += fmt.Sprintf("[[keys.libraries]]\nlibrary = %q\nplan = %q\nspread = 1\nhash = %q\n", l.Key, l.Plan, keyring.HashOf(salt, keyOf(l.Key)))
+	}
+	for name, text := range map[string][]byte{"the.book": text, "operator.toml": []byte(file)} {
+		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return filepath.Join(dir, "operator.toml")
+}
+
 // measure runs one program under the load of a second or a few.
-func measure(t *testing.T, program string) usage {
+func measure(t *testing.T, program, how string) usage {
 	t.Helper()
 	settings := standin.SiteSettings(1)
 	settings.Caps["peers"] = false
@@ -95,7 +129,22 @@
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	var customers []standin.Customer
+	for i := range 16 {
+		customers = append(customers, standin.Customer{Key: fmt.Sprintf("%016x", i+1), Plan: "free", Rate: 120, Loans: 0.4, Units: 1, Spread: 1})
+	}
 	cmd := exec.Command(program)
+	var asks []standin.Operation
+	if how != "" {
+		cmd.Args = append(cmd.Args, "serve", "--operator", bookOf(t, how, customers))
+	}
+	if how == "keys" {
+		asks = []standin.Operation{{Name: "search", Method: "GET", Path: "/holdings-lookup", Query: "q=1", Class: "holdings-lookup", Safe: true, Share: 6},
+			{Name: "place", Method: "POST", Path: "/loan-request", Query: "q=1", Class: "loan-request", Keyed: true, Share: 4}}
+		for i := range customers {
+			customers[i].APIKey = keyOf(customers[i].Key)
+		}
+	}
 	for _, v := range os.Environ() {
 		if !strings.HasPrefix(v, asProgram) {
 			cmd.Env = append(cmd.Env, v)
@@ -122,11 +171,7 @@
 	u := usage{start: time.Since(began)}
 	time.Sleep(300 * time.Millisecond)
 	u.rest = status(t, cmd.Process.Pid, "VmRSS")
-	var customers []standin.Customer
-	for i := range 16 {
-		customers = append(customers, standin.Customer{Key: fmt.Sprintf("%016x", i+1), Plan: "free", Rate: 120, Loans: 0.4, Units: 1, Spread: 1})
-	}
-	front, err := site.NewFront(standin.FrontConfig{Nodes: []standin.NodeAddr{{Name: "n0", Addr: addr}}, Customers: customers,
+	front, err := site.NewFront(standin.FrontConfig{Nodes: []standin.NodeAddr{{Name: "n0", Addr: addr}}, Customers: customers, Asks: asks,
 		Settings: settings, Seed: 7})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -24,6 +24,17 @@
 		c := t.Customers[name]
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%.0f\n", name, c.Plan, c.Asked, c.Served, c.Refused, c.Units)
 	}
+	if len(t.Operations) > 0 {
+		fmt.Fprintf(w, "\noperation\tasked\tserved\trefused\tfailed\tunits charged\tread under\n")
+		for _, name := range sorted(t.Operations) {
+			o := t.Operations[name]
+			under := ""
+			for _, book := range sorted(o.Books) {
+				under += fmt.Sprintf("%s: %d  ", book, o.Books[book])
+			}
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.0f\t%s\n", name, o.Asked, o.Served, o.Refused, o.Failed, o.Charged, under)
+		}
+	}
 	fmt.Fprintf(w, "\nhung up\t%d\ncrossed the end of a connection, sent again\t%d\nfound no edge node\t%d\ntaken and not answered (all causes)\t%d\nnot sent, too many open\t%d\n",
 		t.HungUp, t.Crossed, t.Unreached, t.Lost, t.Unsent)
 	fmt.Fprintf(w, "instances killed\t%d\n", r.Killed)
@@ -39,7 +50,7 @@
 		return err
 	}
 	if len(r.Breaks) == 0 {
-		_, err := fmt.Fprintln(out, "\naudit: all five rules kept")
+		_, err := fmt.Fprintln(out, "\naudit: all rules kept")
 		return err
 	}
 	fmt.Fprintf(out, "\naudit: %d broken\n", len(r.Breaks))
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/bookmaker"
 	"pepperfall.example/pepperfall/internal/conffile"
 	"pepperfall.example/pepperfall/internal/rollout"
 	"pepperfall.example/pepperfall/internal/world"
@@ -40,6 +41,8 @@
 	Fleet      string           `json:"fleet"`
 	Generation string           `json:"generation"`
 	Rolling    string           `json:"rolling,omitempty"`
+	Book       string           `json:"book,omitempty"` // the revision that instances serve by
+	Pending    *Pending         `json:"pending,omitempty"`
 	Instances  []InstanceStatus `json:"instances"`
 }
 
@@ -177,7 +180,7 @@
 		c.lines <- Line{Status: &st}
 		c.end(OrderDone, "")
 	case "reload":
-		s.reload(c)
+		s.order(c)
 	case "restart":
 		s.give(c, rollout.Order{Kind: rollout.Restart, Generation: s.planner.Generation()})
 	case "stop":
@@ -202,23 +205,58 @@
 	return true
 }
 
-// reload reads the fleet file and all that it names, and rolls out what has
-// changed in the way that it needs.
-func (s *Supervisor) reload(c *control) {
-	fail := func(code int, format string, args ...any) {
-		text := fmt.Sprintf(format, args...)
-		s.log.Error("reload not begun; the old generation stays in force", "err", text)
-		c.end(code, text)
+// order has the fleet file and all that it names read, for a reload.
+func (s *Supervisor) order(c *control) {
+	switch kind, on := s.planner.Rolling(); {
+	case on:
+		s.unbegun(c, OrderFailed, "reload not begun: a %v is on", kind)
+	case s.reading:
+		s.unbegun(c, OrderFailed, "reload not begun: the files are being read for another")
+	default:
+		s.read(c)
 	}
-	if kind, on := s.planner.Rolling(); on {
-		fail(OrderFailed, "reload not begun: a %v is on", kind)
+}
+
+// unbegun ends an order to reload that changes nothing.
+func (s *Supervisor) unbegun(c *control, code int, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	s.log.Error("reload not begun; the old generation stays in force", "err", text)
+	c.end(code, text)
+}
+
+// reload rolls out what has changed in the files read, in the way that it
+// needs. Without an asker a watched file was the cause.
+func (s *Supervisor) reload(r loaded) {
+	s.reading = false
+	c, l := r.c, r.l
+	if kind, on := s.planner.Rolling(); on { // begun while the files were read
+		s.again = s.again || c == nil
+		s.unbegun(c, OrderFailed, "reload not begun: a %v is on", kind)
+		return
+	}
+	var hostile *bookmaker.Faults
+	if r.err != nil {
+		code := OrderFailed
+		if isFault(r.err) || errors.As(r.err, &hostile) {
+			code = OrderInvalid
+		}
+		s.unbegun(c, code, "%v\nnothing is changed; generation %s stays in force", r.err, s.planner.Generation())
 		return
 	}
-	l, err := Load(s.path)
+	if r.warnings != "" {
+		s.log.Warn("routes", "say", r.warnings)
+		c.say(r.warnings)
+	}
+	book, _ := s.inForce()
+	pending, err := l.holdBack(book)
 	if err != nil {
-		fail(OrderInvalid, "%v\nnothing is changed; generation %s stays in force", err, s.planner.Generation())
+		s.unbegun(c, OrderFailed, "%v", err)
 		return
 	}
+	if s.pending = pending; pending != nil {
+		s.log.Warn(pending.String())
+		c.say(pending.String())
+	}
 	need, changes := Compare(s.file, l)
 	for _, ch := range changes {
 		c.say(ch.String())
@@ -230,13 +268,16 @@
 	kind := rollout.Reload
 	switch {
 	case err != nil:
-		fail(OrderFailed, "%v", err)
+		s.unbegun(c, OrderFailed, "%v", err)
 		return
 	case need == FullStop:
-		fail(OrderInvalid, "what has changed needs %v; nothing is changed", need)
+		s.unbegun(c, OrderInvalid, "what has changed needs %v; nothing is changed", need)
 		return
 	case g.Name == s.planner.Generation():
 		c.end(OrderDone, fmt.Sprintf("nothing has changed; generation %s is in force", g.Name))
+		if s.again {
+			s.retake()
+		}
 		return
 	case need == RollingRestart:
 		kind = rollout.Restart
@@ -248,8 +289,15 @@
 	}
 }
 
+func isFault(err error) bool {
+	var faults conffile.Faults
+	var fault conffile.Fault
+	return errors.As(err, &faults) || errors.As(err, &fault)
+}
+
 func (s *Supervisor) status() Status {
-	st := Status{Fleet: s.file.Name, Generation: s.planner.Generation()}
+	_, revision := s.inForce()
+	st := Status{Fleet: s.file.Name, Generation: s.planner.Generation(), Book: revision, Pending: s.pending}
 	if kind, on := s.planner.Rolling(); on {
 		st.Rolling = kind.String()
 	}
--- a/internal/fleet/file.go
+++ b/internal/fleet/file.go
@@ -85,10 +85,15 @@
 	SettingsJSON json.RawMessage // the platform's settings, as given
 	OperatorFile operator.File
 	OperatorText []byte
+	Op           *operator.Loaded // nil: no operator file
+
+	Book     []byte // compiled; nil: requests are read as the platform has it, or the book was not read
+	Revision string // of the book
+	seen     string // the state of the description or book when it was read
 }
 
-// Load reads and checks a fleet file and the files that it names. The error
-// holds every fault of all of them.
+// Load reads and checks a fleet file and the files that it names, but for the
+// route book. The error holds every fault of all of them.
 func Load(path string) (*Loaded, error) {
 	text, err := conffile.Read(path)
 	if err != nil {
@@ -157,7 +162,7 @@
 				fault("operator", "%v", err)
 			}
 		} else {
-			l.OperatorFile, l.OperatorText = op.File, op.Text
+			l.OperatorFile, l.OperatorText, l.Op = op.File, op.Text, op
 		}
 	}
 	if len(faults) == 0 {
--- a/internal/fleet/generation.go
+++ b/internal/fleet/generation.go
@@ -25,6 +25,8 @@
 	Program  string
 	Operator []byte
 	Configs  [][]byte // by instance
+	Book     []byte   // compiled; nil: none
+	Revision string   // of the book
 }
 
 // generation makes the generation of what was loaded.
@@ -40,7 +42,12 @@
 		g.Configs = append(g.Configs, c)
 		sum.Write(c)
 	}
-	g.Operator = append(fmt.Appendf(nil, "# fleet %s, stamp %s\n", l.Name, hex.EncodeToString(sum.Sum(nil)[:8])), l.OperatorText...)
+	g.Operator = fmt.Appendf(nil, "# fleet %s, stamp %s\n", l.Name, hex.EncodeToString(sum.Sum(nil)[:8]))
+	if l.Book != nil {
+		g.Book, g.Revision = l.Book, l.Revision
+		g.Operator = fmt.Appendf(g.Operator, "revision = %q # of the route book beside this file\n", l.Revision)
+	}
+	g.Operator = append(g.Operator, l.OperatorText...)
 	g.Name = operator.GenerationOf(g.Operator)
 	return g, nil
 }
@@ -109,11 +116,15 @@
 	if i >= len(g.Configs) {
 		return nil, fmt.Errorf("generation %s has %d instances", name, len(g.Configs))
 	}
-	for path, text := range map[string][]byte{s.configPath(i): g.Configs[i], s.operatorPath(i): g.Operator} {
-		if old, err := os.ReadFile(path); err == nil && bytes.Equal(old, text) {
+	files := []struct {
+		path string
+		text []byte
+	}{{s.bookPath(i), g.Book}, {s.configPath(i), g.Configs[i]}, {s.operatorPath(i), g.Operator}} // what names the book is last
+	for _, f := range files {
+		if old, err := os.ReadFile(f.path); f.text == nil || err == nil && bytes.Equal(old, f.text) {
 			continue
 		}
-		if err := statefile.Write(path, text, 0o600); err != nil {
+		if err := statefile.Write(f.path, f.text, 0o600); err != nil {
 			return nil, err
 		}
 	}
@@ -161,6 +172,10 @@
 		}
 		changes = append(changes, c)
 	}
+	if old.Revision != new.Revision {
+		atLeast(LiveReload)
+		changes = append(changes, conffile.Change{Key: "route book", Old: orNone(old.Revision), New: orNone(new.Revision)})
+	}
 	if !bytes.Equal(old.OperatorText, new.OperatorText) {
 		atLeast(LiveReload)
 	}
@@ -184,3 +199,10 @@
 	}
 	return when
 }
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -90,7 +90,7 @@
 		return nil, err
 	}
 	defer log.Close()
-	cmd := exec.Command(g.Program, "serve", "--operator", s.operatorPath(i), "--instance-lock", s.lockPath(i))
+	cmd := exec.Command(g.Program, "serve", "--operator", s.operatorPath(i), "--book", s.bookPath(i), "--instance-lock", s.lockPath(i))
 	for _, v := range os.Environ() {
 		if !strings.HasPrefix(v, "GW_") {
 			cmd.Env = append(cmd.Env, v)
--- a/internal/fleet/rig_test.go
+++ b/internal/fleet/rig_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -49,12 +48,10 @@
 		}
 		return 0
 	}
-	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
-	op, lock := fs.String("operator", "", ""), fs.String("instance-lock", "", "")
-	if len(args) == 0 || args[0] != "serve" || fs.Parse(args[1:]) != nil {
+	if len(args) == 0 || args[0] != "serve" {
 		return 64
 	}
-	return daemon.Run(daemon.Options{Operator: *op, Lock: *lock})
+	return daemon.Main(args, os.Stderr)
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -97,6 +94,8 @@
 	log   logs
 	stop  context.CancelFunc
 	done  chan error
+
+	compile daemon.Compile
 }
 
 var seeds = rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid())))
@@ -176,7 +175,8 @@
 	r.stop, r.done = stop, make(chan error, 1)
 	done := r.done
 	go func() {
-		done <- Run(ctx, r.file, nil, Options{World: world.Real{}, Log: slog.New(slog.NewTextHandler(&r.log, nil)), Seed: 1})
+		done <- Run(ctx, r.file, nil, Options{World: world.Real{}, Log: slog.New(slog.NewTextHandler(&r.log, nil)), Seed: 1,
+			Compile: r.compile})
 	}()
 	r.t.Cleanup(r.end)
 }
--- a/internal/fleet/supervisor.go
+++ b/internal/fleet/supervisor.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,8 @@
 	World Outside
 	Log   *slog.Logger
 	Seed  uint64 // spreads backoffs
+
+	Compile daemon.Compile // of descriptions; nil: only compiled books are read
 }
 
 // Supervisor runs one fleet. All its state belongs to its loop.
@@ -58,6 +61,12 @@
 	asker   *control // who ordered it; nil: nobody who listens
 	found   bool     // instances were found running, whose generation is not yet compared
 	over    bool
+
+	compile daemon.Compile
+	pending *Pending // a revision that waits to be accepted
+	reading bool     // files are read for a reload
+	again   bool     // a watched file has changed since
+	watched atomic.Pointer[Loaded]
 }
 
 // memory is what a supervisor leaves for the next one.
@@ -74,7 +83,14 @@
 	if err != nil {
 		return err
 	}
-	s := &Supervisor{path: path, file: l, dir: l.Dir, names: l.Instances(), world: o.World, log: o.Log, begun: o.World.Now(),
+	warnings, err := l.ReadBook(stop, o.Compile)
+	if err != nil {
+		return err
+	}
+	if warnings != "" {
+		o.Log.Warn("routes", "say", warnings)
+	}
+	s := &Supervisor{compile: o.Compile, path: path, file: l, dir: l.Dir, names: l.Instances(), world: o.World, log: o.Log, begun: o.World.Now(),
 		procs: make([]*process, l.Nodes.Count), known: map[string]*generation{}, events: make(chan any, eventQueue)}
 	for i := range s.names {
 		if err := os.MkdirAll(s.instanceDir(i), 0o700); err != nil {
@@ -108,6 +124,7 @@
 	for i := range s.names {
 		s.wg.Go(func() { s.look(i, time.Duration(l.Rolls.LookEveryMS)*time.Millisecond) })
 	}
+	s.wg.Go(s.watch)
 	s.loop(stop, hup)
 	return nil
 }
@@ -134,10 +151,6 @@
 
 // begin takes over what runs and starts the rest.
 func (s *Supervisor) begin() error {
-	g, err := s.file.generation()
-	if err != nil {
-		return err
-	}
 	var m memory
 	note, err := statefile.Load(s.memoryPath(), &m)
 	switch {
@@ -146,6 +159,14 @@
 	case note != "":
 		s.log.Warn(note)
 	}
+	if m.Good != "" {
+		s.compareWith(m.Good)
+	}
+	s.watched.Store(s.file)
+	g, err := s.file.generation()
+	if err != nil {
+		return err
+	}
 	running := []int{}
 	for i := range s.names {
 		if _, held := daemon.Holder(s.lockPath(i)); held {
@@ -163,6 +184,7 @@
 		} else if m.Good != g.Name {
 			s.log.Warn("the fleet file has changed; the old generation stays until an order to reload", "in_force", m.Good, "file", g.Name)
 			good = old.Name
+			s.file.seen = "" // a watched description is looked at once more
 		}
 	}
 	if err := s.keep(g); err != nil {
@@ -178,6 +200,21 @@
 	return nil
 }
 
+// compareWith holds the file's book back where it has to be accepted first:
+// what was in force before a stop counts, too.
+func (s *Supervisor) compareWith(generation string) {
+	old, err := s.recall(generation)
+	if err == nil {
+		s.pending, err = s.file.holdBack(old.Book)
+	}
+	if err != nil {
+		s.log.Warn("the last revision of the route book can't be compared with", "err", err)
+	}
+	if s.pending != nil {
+		s.log.Warn(s.pending.String())
+	}
+}
+
 // remember writes down what the next supervisor needs.
 func (s *Supervisor) remember() {
 	m := memory{Fleet: s.file.Name, Listen: s.file.Nodes.Listen, Peers: s.file.Nodes.Peers, Count: s.file.Nodes.Count,
@@ -207,7 +244,7 @@
 			s.log.Info("stopping the fleet")
 			ev = rollout.Order{Kind: rollout.Stop}
 		case <-hup:
-			s.reload(nil)
+			s.order(nil)
 		case <-due:
 		case e := <-s.events:
 			ev = s.take(e)
@@ -240,6 +277,10 @@
 		return e
 	case *control:
 		s.command(e)
+	case loaded:
+		s.reload(e)
+	case changed:
+		s.retake()
 	}
 	return nil
 }
@@ -281,6 +322,7 @@
 		return
 	case e.OK && s.next != nil:
 		s.file = s.next
+		s.watched.Store(s.file)
 	}
 	if e.Kind != rollout.Stop {
 		s.next = nil
@@ -293,6 +335,9 @@
 		s.asker.end(1, fmt.Sprintf("%v not done: %s; generation %s is in force", e.Kind, e.Why, e.Generation))
 	}
 	s.asker = nil
+	if s.again && e.Kind != rollout.Stop {
+		s.retake()
+	}
 }
 
 // settle brings instances that were found under another generation than the
--- /dev/null
+++ b/internal/node/booked_test.go
@@ -0,0 +1,360 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/keyring"
+	"pepperfall.example/pepperfall/internal/routebook"
+	"pepperfall.example/pepperfall/internal/routing"
+	"pepperfall.example/pepperfall/internal/standin"
+)
+
+const townKey, tinyKey = "ppk_towntowntowntowntowntowntowntown", "ppk_tinytinytinytinytinytinytinytiny"
+
+func bookRoutes() []routebook.Route {
+	one := routebook.Units{Base: 1, Most: 6}
+	return []routebook.Route{
+		{Operation: "search", Method: "GET", Template: "/v1/holdings", Class: "lookup", Repeat: routebook.Safe, Units: one, Place: "f:1"},
+		{Operation: "head", Method: "HEAD", Template: "/v1/holdings", Class: "lookup", Repeat: routebook.Safe, Units: one, Place: "f:2"},
+		{Operation: "place", Method: "POST", Template: "/v1/loans", Class: "loan", Repeat: routebook.Keyed, Units: one, Place: "f:3"},
+		{Operation: "end", Method: "DELETE", Template: "/v1/loans/{id}", Class: "loan", Units: one, Place: "f:4"},
+	}
+}
+
+// tableOf compiles a book for the test settings; change may shape routes and
+// options.
+func tableOf(t testing.TB, cfg *Config, revision string, change func(list []routebook.Route, o *routing.Options) []routebook.Route) *routing.Table {
+	t.Helper()
+	list, o := bookRoutes(), routing.Options{Tell: true}
+	if change != nil {
+		list = change(list, &o)
+	}
+	b, err := routebook.Compile(revision, list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Keys = []routebook.KeyPlace{{In: "header", Name: "X-Api-Key"}, {In: "query", Name: "api_key"}, {In: "cookie", Name: "session"}}
+	salt := keyring.Salt("0123456789abcdef")
+	libraries := []keyring.Library{{Number: "0000000000000001", Plan: "town", Spread: 1}, {Number: "0000000000000002", Plan: "tiny", Spread: 1}}
+	ring, _, err := keyring.New(salt, []keyring.Entry{{Hash: keyring.HashOf(salt, townKey), Library: libraries[0]}, {Hash: keyring.HashOf(salt, tinyKey), Library: libraries[1]}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tab, err := routing.NewTable(&cfg.Settings, b, ring, libraries, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tab
+}
+
+// says writes an answer as a loan server does; HEAD gets none of the body.
+func says(c net.Conn, r *standin.Request, status, fields, body string) bool {
+	text := fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n", status, fields, len(body))
+	if r.Method != "HEAD" {
+		text += body
+	}
+	_, err := c.Write([]byte(text))
+	return err == nil
+}
+
+// put brings a table in force.
+func (r *running) put(tab *routing.Table) {
+	t := r.Tuning()
+	t.Routes = tab
+	r.Tune(t)
+}
+
+// ordinary makes a request as ordinary clients do.
+func ordinary(method, url, body string, fields ...string) *http.Request {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("X-Api-Key", townKey)
+	for i := 0; i < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
+	return r
+}
+
+// An ordinary client needs nothing but its key; what goes on to loan servers is
+// the protocol's, and no key.
+func TestOrdinaryClient(t *testing.T) {
+	var mu sync.Mutex
+	var seen []*standin.Request
+	app := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		mu.Lock()
+		seen = append(seen, r)
+		mu.Unlock()
+		return says(c, r, "200 OK", "Content-Type: text/plain\r\n", "answer")
+	})
+	n := nodeWith(t, app.Addr())
+	n.put(tableOf(t, n.cfg, "rev1", func(l []routebook.Route, o *routing.Options) []routebook.Route {
+		o.Pass = []string{"Accept-Language"}
+		return l
+	}))
+	last := func() *standin.Request {
+		mu.Lock()
+		defer mu.Unlock()
+		return seen[len(seen)-1]
+	}
+	resp, body := ask(t, ordinary("GET", n.url+"/v1/holdings?api_key="+townKey+"&q=x", "", "Cookie", "session="+townKey+"; a=b", "Accept-Language", "ro", "Authorization", "Bearer x"))
+	if resp.StatusCode != 200 || body != "answer" || resp.Header.Get(routing.BookField) != "rev1" || resp.Header.Get(routing.UnitsField) != "1" {
+		t.Fatalf("%d %q %v", resp.StatusCode, body, resp.Header)
+	}
+	r := last()
+	if text := fmt.Sprintf("%s %v", r.URL, r.Header); strings.Contains(text, "ppk_") || r.URL.String() != "/v1/holdings?q=x" {
+		t.Errorf("what went on: %s", text)
+	}
+	if r.Header.Get("X-Request-Id") == "" || r.Header.Get("X-Class") != "lookup" || r.Header.Get("Accept-Language") != "ro" ||
+		r.Header.Get("Authorization") != "" || r.Header.Get(routing.OperationField) != "search" {
+		t.Errorf("fields that went on: %v", r.Header)
+	}
+	first := r.Header.Get("X-Request-Id")
+	ask(t, ordinary("GET", n.url+"/v1/holdings", ""))
+	if again := last().Header.Get("X-Request-Id"); again == first || len(again) != 32 {
+		t.Errorf("ids %q, %q", first, again)
+	}
+	ask(t, ordinary("POST", n.url+"/v1/loans", "book=7", "X-Request-Id", "mine", "Idempotency-Key", "k1"))
+	if r := last(); r.Header.Get("X-Request-Id") != "mine" || r.Header.Get("Idempotency-Key") != "k1" || r.Content != "book=7" {
+		t.Errorf("%v %q", r.Header, r.Content)
+	}
+	ask(t, ordinary("DELETE", n.url+"/v1/loans/7", ""))
+	if r := last(); r.Method != "DELETE" || r.URL.Path != "/v1/loans/7" {
+		t.Errorf("%s %s", r.Method, r.URL)
+	}
+	// HEAD: a length and no body, on either side; the connections go on.
+	for range 3 {
+		resp, body = ask(t, ordinary("HEAD", n.url+"/v1/holdings", ""))
+		if resp.StatusCode != 200 || body != "" {
+			t.Errorf("HEAD: %d %q", resp.StatusCode, body)
+		}
+	}
+	n.put(tableOf(t, n.cfg, "rev2", func(l []routebook.Route, o *routing.Options) []routebook.Route {
+		o.PassKey, o.Tell = true, false
+		return l
+	}))
+	resp, _ = ask(t, ordinary("GET", n.url+"/v1/holdings?api_key="+townKey, "", "Cookie", "session="+townKey+"; a=b"))
+	if r := last(); r.Header.Get("X-Api-Key") != townKey || r.URL.RawQuery != "api_key="+townKey || r.Header.Get("Cookie") != "session="+townKey {
+		t.Errorf("with keys passed on: %s %v", r.URL, r.Header)
+	}
+	if resp.Header.Get(routing.BookField) != "" {
+		t.Error("an answer tells of the book though it must not")
+	}
+}
+
+// What can't be served is answered at once, without an attempt and without
+// touching a quota.
+func TestTurnedAway(t *testing.T) {
+	app := newApp(t, func(c net.Conn, r *standin.Request) bool { return says(c, r, "200 OK", "", "x") })
+	n := nodeWith(t, app.Addr())
+	n.put(tableOf(t, n.cfg, "rev1", nil))
+	for _, c := range []struct {
+		r      *http.Request
+		status int
+		field  string
+		value  string
+	}{
+		{ordinary("GET", n.url+"/v1/holdings", "", "X-Api-Key", "wrong"), 401, "WWW-Authenticate", "ApiKey"},
+		{ordinary("GET", n.url+"/v1/holdings?api_key="+tinyKey, ""), 400, "", ""}, // and the town's in the header
+		{ordinary("GET", n.url+"/nothing", ""), 404, "", ""},
+		{ordinary("PUT", n.url+"/v1/loans/4", ""), 405, "Allow", "DELETE"},
+		{ordinary("GET", n.url+"/v1/holdings", "", "X-Class", "loan"), 400, "", ""},
+		{ordinary("GET", n.url+"/v1/holdings", "body"), 400, "", ""},
+	} {
+		c.r.Close = true // of its own connection: floods on one are paced
+		resp, body := ask(t, c.r)
+		if resp.StatusCode != c.status || c.field != "" && resp.Header.Get(c.field) != c.value {
+			t.Errorf("%s %s: %d %v %q, want %d", c.r.Method, c.r.URL, resp.StatusCode, resp.Header, body, c.status)
+		}
+	}
+	if app.Seen.Load() != 0 {
+		t.Errorf("%d attempts", app.Seen.Load())
+	}
+	n.put(nil)
+	if resp, _ := ask(t, request(n.url, "lookup", time.Second)); resp.StatusCode != 200 {
+		t.Errorf("without a book again: %d", resp.StatusCode)
+	}
+}
+
+// What must not run twice is not sent again once it may have run, though its
+// class could; what repeats is.
+func TestNeverRunsTwice(t *testing.T) {
+	var mu sync.Mutex
+	count := map[string]int{}
+	app := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if count[r.Header.Get("X-Request-Id")]++; count[r.Header.Get("X-Request-Id")] == 1 {
+			return says(c, r, "500 Internal Server Error", "", "") && false
+		}
+		return says(c, r, "200 OK", "", "x")
+	})
+	n := nodeWith(t, app.Addr(), app.Addr())
+	n.put(tableOf(t, n.cfg, "rev1", nil))
+	for _, c := range []struct {
+		id, method, path string
+		fields           []string
+		status, sent     int
+	}{
+		{"a", "GET", "/v1/holdings", nil, 200, 2},
+		{"b", "POST", "/v1/loans", []string{"Idempotency-Key", "k1"}, 200, 2},
+		{"c", "POST", "/v1/loans", nil, 502, 1}, // without a key no rack can drop a repeat
+		{"d", "DELETE", "/v1/loans/4", []string{"Idempotency-Key", "k2"}, 502, 1},
+	} {
+		resp, _ := ask(t, ordinary(c.method, n.url+c.path, "", append(c.fields, "X-Request-Id", c.id)...))
+		mu.Lock()
+		if resp.StatusCode != c.status || count[c.id] != c.sent {
+			t.Errorf("%s %s: %d after %d attempts, want %d after %d", c.method, c.path, resp.StatusCode, count[c.id], c.status, c.sent)
+		}
+		mu.Unlock()
+	}
+}
+
+// A client's further try with one key is held to the more careful of its two
+// revisions: the operation was never to be repeated, and now is keyed.
+func TestKeyUnderTwoRevisions(t *testing.T) {
+	var mu sync.Mutex
+	count := 0
+	app := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		mu.Lock()
+		count++
+		mu.Unlock()
+		return says(c, r, "500 Internal Server Error", "", "") && false
+	})
+	n := nodeWith(t, app.Addr(), app.Addr())
+	tryAs := func(class string, repeat routebook.Repeat, key string) int {
+		n.put(tableOf(t, n.cfg, fmt.Sprint("rev", class, repeat), func(l []routebook.Route, _ *routing.Options) []routebook.Route {
+			l[2].Class, l[2].Repeat = class, repeat
+			return l
+		}))
+		mu.Lock()
+		count = 0
+		mu.Unlock()
+		ask(t, ordinary("POST", n.url+"/v1/loans", "", "Idempotency-Key", key))
+		mu.Lock()
+		defer mu.Unlock()
+		return count
+	}
+	try := func(repeat routebook.Repeat, key string) int { return tryAs("loan", repeat, key) }
+	if sent := try(routebook.Keyed, "other"); sent < 2 {
+		t.Fatalf("a keyed request was sent %d times: the test shows nothing", sent)
+	}
+	if sent := try(routebook.Never, "k"); sent != 1 {
+		t.Errorf("one that never repeats was sent %d times", sent)
+	}
+	if sent := try(routebook.Keyed, "k"); sent != 1 {
+		t.Errorf("its client's further try, now keyed, was sent %d times", sent)
+	}
+	// Its class changes: what rack knows the key is the old class's to say.
+	if sent := tryAs("lookup", routebook.Safe, "fresh"); sent < 2 {
+		t.Fatalf("a safe request was sent %d times: the test shows nothing", sent)
+	}
+	if sent := tryAs("lookup", routebook.Safe, "other"); sent != 1 {
+		t.Errorf("a further try of a keyed request, now of another class and safe, was sent %d times", sent)
+	}
+}
+
+// A request that is held keeps its operation, key and costs though its
+// operation and its library's key are gone meanwhile.
+func TestHeldThroughASwap(t *testing.T) {
+	gate := make(chan struct{})
+	app := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		if r.Header.Get("X-Request-Id") == "first" {
+			<-gate
+		}
+		return says(c, r, "200 OK", "", "x")
+	})
+	cfg := testConfig(t, newRegistry(t, serving("s-00000001", app.Addr())).Addr())
+	cfg.Settings.Plans[0].Open = 1 // the second waits for the first
+	n := start(t, cfg)
+	n.put(tableOf(t, cfg, "rev1", nil))
+	answers := make(chan *http.Response, 2)
+	for i, id := range []string{"first", "second"} {
+		r := ordinary("POST", n.url+"/v1/loans", "x", "X-Request-Id", id, "Idempotency-Key", id)
+		go func() {
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Error(err)
+				answers <- &http.Response{}
+				return
+			}
+			resp.Body.Close()
+			answers <- resp
+		}()
+		eventually(t, "the first is out, the second held", func() bool { return n.open() == i+1 && app.Seen.Load() == 1 })
+	}
+	without := tableOf(t, cfg, "rev2", func(l []routebook.Route, _ *routing.Options) []routebook.Route { return l[:2] })
+	withdrawn, err := routing.NewTable(&cfg.Settings, without.Book, nil, nil, without.Options) // no key is known any more
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.put(withdrawn)
+	stranger := ordinary("GET", n.url+"/v1/holdings", "")
+	stranger.Close = true
+	if resp, _ := ask(t, stranger); resp.StatusCode != 401 {
+		t.Errorf("a new request with the withdrawn key: %d", resp.StatusCode)
+	}
+	gone := ordinary("POST", n.url+"/v1/loans", "x")
+	gone.Close = true
+	if resp, _ := ask(t, gone); resp.StatusCode != 404 {
+		t.Errorf("a new request for the operation that is gone: %d", resp.StatusCode)
+	}
+	close(gate)
+	for range 2 {
+		if resp := <-answers; resp.StatusCode != 200 || resp.Header.Get(routing.BookField) != "rev1" {
+			t.Errorf("%d under %s, want 200 under rev1", resp.StatusCode, resp.Header.Get(routing.BookField))
+		}
+	}
+}
+
+// open counts the connections with a request that was taken.
+func (r *running) open() (n int) {
+	r.server.mu.Lock()
+	defer r.server.mu.Unlock()
+	for cc := range r.server.conns {
+		if cc.state == connBusy {
+			n++
+		}
+	}
+	return n
+}
+
+// An id that a client sends while a request of that id is open is a conflict;
+// once that is answered it may be used again.
+func TestRequestIDTwice(t *testing.T) {
+	gate := make(chan struct{})
+	app := newApp(t, func(c net.Conn, r *standin.Request) bool {
+		<-gate
+		return says(c, r, "200 OK", "", "x")
+	})
+	n := nodeWith(t, app.Addr())
+	n.put(tableOf(t, n.cfg, "rev1", nil))
+	done := make(chan int, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(ordinary("GET", n.url+"/v1/holdings", "", "X-Request-Id", "same"))
+		if err != nil {
+			done <- 0
+			return
+		}
+		resp.Body.Close()
+		done <- resp.StatusCode
+	}()
+	eventually(t, "the first is out", func() bool { return app.Seen.Load() == 1 })
+	if resp, _ := ask(t, ordinary("GET", n.url+"/v1/holdings", "", "X-Request-Id", "same")); resp.StatusCode != 409 {
+		t.Errorf("the same id at once: %d", resp.StatusCode)
+	}
+	close(gate)
+	if status := <-done; status != 200 {
+		t.Errorf("the first: %d", status)
+	}
+	if resp, _ := ask(t, ordinary("GET", n.url+"/v1/holdings", "", "X-Request-Id", "same")); resp.StatusCode != 200 {
+		t.Errorf("the same id afterwards: %d", resp.StatusCode)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -14,6 +15,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/wire"
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -31,6 +33,8 @@
 	Known      *serverList    // the list as last held; nil: none
 	Settings   policy.Settings
 	Reread     func() (*Config, error) // reads a new file; nil: there is none
+	World      world.World             // time and sockets; nil: the machine's
+	Random     io.Reader               // for the ids of requests that bring none; nil: the machine's
 
 	DialTimeout time.Duration // an app server that has not accepted by then is out of reach
 	ConnIdle    time.Duration // app servers close idle connections after this
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/wire"
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -89,17 +90,18 @@
 
 // discovery follows the list of app servers.
 type discovery struct {
-	tell func(*serverList, policy.MembersKind)
-	http http.Client
+	clock world.Clock
+	tell  func(*serverList, policy.MembersKind)
+	http  http.Client
 
 	mu    sync.Mutex
 	addr  string
 	moved context.CancelFunc // ends the watch at the address before
 }
 
-func newDiscovery(addr string, tell func(*serverList, policy.MembersKind)) *discovery {
-	return &discovery{addr: addr, tell: tell, moved: func() {}, http: http.Client{
-		Transport:     &http.Transport{DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: watchWait},
+func newDiscovery(w world.World, addr string, tell func(*serverList, policy.MembersKind)) *discovery {
+	return &discovery{clock: w, addr: addr, tell: tell, moved: func() {}, http: http.Client{
+		Transport:     &http.Transport{DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: watchWait, DialContext: w.Dial},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
@@ -137,7 +139,7 @@
 			query = fmt.Sprintf("?since=%d&timeout_ms=%d", rev, watchWait.Milliseconds())
 			limit = watchWait + watchSlack
 		}
-		began := time.Now()
+		began := d.clock.Now()
 		l, err := d.get(ctx, "http://"+addr+"/v1/servers"+query, limit)
 		if ctx.Err() != nil {
 			return
@@ -148,7 +150,7 @@
 			}
 			down = true
 			d.tell(nil, policy.AskFailed)
-			sleep(ctx, backoff)
+			world.Sleep(ctx, d.clock, backoff)
 			backoff = min(2*backoff, mostBackoff)
 			continue
 		}
@@ -156,8 +158,8 @@
 			slog.Info("discovery answers again", "rev", l.Rev)
 		}
 		down, backoff = false, leastBackoff
-		if have && l.Rev == rev && time.Since(began) < watchPause {
-			sleep(ctx, watchPause) // it does not wait as it should: don't ask without pause
+		if have && l.Rev == rev && d.clock.Now().Sub(began) < watchPause {
+			world.Sleep(ctx, d.clock, watchPause) // it does not wait as it should: don't ask without pause
 		}
 		rev = l.Rev
 		switch {
@@ -171,7 +173,7 @@
 }
 
 func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (*serverList, error) {
-	ctx, end := context.WithTimeout(ctx, limit)
+	ctx, end := world.WithTimeout(ctx, d.clock, limit)
 	defer end()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,15 +6,21 @@
 	"net"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
 // clock is the monotonic clock of an edge node, anchored once to Unix time: it
 // counts from the epoch, so that start times in the list need no shift.
-type clock struct{ anchor time.Time }
+type clock struct {
+	world.Clock
+	anchor time.Time
+}
+
+func newClock(c world.Clock) clock { return clock{c, c.Now()} }
 
 func (c clock) now() time.Duration {
-	return time.Duration(c.anchor.UnixNano()) + time.Since(c.anchor)
+	return time.Duration(c.anchor.UnixNano()) + c.Now().Sub(c.anchor)
 }
 
 func (c clock) time(d time.Duration) time.Time {
@@ -38,7 +44,8 @@
 	policy.Request
 	name    string // the client's id for it
 	class   *policy.Class
-	conn    net.Conn // the client's
+	effect  policy.Effect // the more careful of the class's and the operation's
+	conn    net.Conn      // the client's
 	arrived time.Duration
 	budget  time.Duration // how long the client waits
 	cmd     chan command  // room for one: the next is given once the last is done
@@ -86,7 +93,7 @@
 	calls  map[policy.RequestID]*call
 	names  map[string]*call // the same by the clients' ids
 	timers timerHeap
-	timer  *time.Timer
+	timer  world.Timer
 	wake   time.Duration // when the timer is set for; 0: it is not
 	queue  []policy.Event
 	acts   []policy.Action
@@ -94,7 +101,7 @@
 
 func newLoop(c clock, g *policy.Gateway, up *upstream) *loop {
 	return &loop{clock: c, gateway: g, up: up, events: make(chan any, eventQueue),
-		calls: map[policy.RequestID]*call{}, names: map[string]*call{}, timer: time.NewTimer(time.Hour)}
+		calls: map[policy.RequestID]*call{}, names: map[string]*call{}, timer: c.NewTimer(time.Hour)}
 }
 
 // run handles events until done is closed.
@@ -108,7 +115,7 @@
 			return
 		case ev := <-l.events:
 			l.handle(ev)
-		case <-l.timer.C:
+		case <-l.timer.C():
 			l.wake = 0
 		}
 		l.fire()
@@ -201,7 +208,7 @@
 // not stop either.
 func (l *loop) look() {
 	for id, c := range l.calls {
-		if c.conn == nil || peek(c.conn) != peekEnd {
+		if c.conn == nil || world.Peek(c.conn) != world.PeekEnd {
 			continue
 		}
 		if c.out == nil {
@@ -319,7 +326,7 @@
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
 	a.writeBy = a.deadline
-	if c.ranAt > 0 && c.class.Effect == policy.Keyed {
+	if c.ranAt > 0 && c.effect == policy.Keyed {
 		a.writeBy = min(a.writeBy, c.ranAt+c.class.Window)
 	}
 	c.out = a
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"log/slog"
 	"net"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -34,6 +36,7 @@
 // Node is an edge node whose sockets are open.
 type Node struct {
 	cfg      *Config
+	world    world.World
 	loop     *loop
 	server   *server
 	up       *upstream
@@ -51,24 +54,35 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	clk := clock{time.Now()}
-	up := &upstream{clock: clk, dial: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1},
+	w := cfg.World
+	if w == nil {
+		w = world.Real{}
+	}
+	clk := newClock(w)
+	up := &upstream{clock: clk, network: w, limit: cfg.DialTimeout,
 		idleFor: time.Duration(idlePart * float64(cfg.ConnIdle)), grace: cfg.DrainGrace,
 		most: int(serverPart * float64(cfg.Sockets)), fields: cfg.Settings.ReportNames,
 		servers: map[policy.ServerID]*appServer{}}
-	n := &Node{cfg: cfg, up: up, loop: newLoop(clk, g, up), platformDiscovery: cfg.Discovery}
+	n := &Node{cfg: cfg, world: w, up: up, loop: newLoop(clk, g, up), platformDiscovery: cfg.Discovery}
 	n.server = newServer(clk, cfg.Settings, up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
+	n.server.booked.random = cfg.Random
+	if cfg.Random == nil {
+		n.server.booked.random = rand.Reader
+	}
 	n.loop.mustAsk = cfg.Settings.MustAsk
 	n.loop.onList = func(kind policy.MembersKind) {
 		switch kind {
 		case policy.Whole:
 			n.server.ready.Store(true)
 		case policy.Remembered: // has to do while discovery is silent
-			time.AfterFunc(knownWait, func() { n.server.ready.Store(true) })
+			go func() {
+				world.Pause(w, knownWait)
+				n.server.ready.Store(true)
+			}()
 		}
 	}
 	if cfg.Settings.CanTell {
-		n.peers, err = listenPeers(cfg.PeerListen, cfg.Peers, cfg.PeersAll, func(from int, data []byte) {
+		n.peers, err = listenPeers(w, cfg.PeerListen, cfg.Peers, cfg.PeersAll, func(from int, data []byte) {
 			select {
 			case n.loop.events <- policy.PeerMessage{From: from, Data: data}:
 			default: // lost, like one on the way
@@ -79,13 +93,12 @@
 		}
 		n.loop.tell = n.peers.tell
 	}
-	lc := net.ListenConfig{KeepAlive: -1} // time-outs of our own are shorter: four system calls saved at each accept
-	if n.listener, err = lc.Listen(context.Background(), "tcp", cfg.Listen); err != nil {
+	if n.listener, err = w.Listen(context.Background(), "tcp", cfg.Listen); err != nil {
 		n.closePeers()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	up.tune(DefaultTuning())
-	n.disc = newDiscovery(cfg.Discovery, func(l *serverList, kind policy.MembersKind) {
+	n.disc = newDiscovery(w, cfg.Discovery, func(l *serverList, kind policy.MembersKind) {
 		n.loop.events <- members{l, kind}
 	})
 	return n, nil
@@ -135,12 +148,12 @@
 // drain goes on accepting for a while, then answers what is open. It returns
 // once nothing is open and nothing has come for a moment.
 func (n *Node) drain() {
-	began := time.Now()
+	began := n.world.Now()
 	n.server.draining.Store(true)
 	accepting := true
-	for time.Since(began) < stopMost {
-		time.Sleep(stopPoll)
-		past := time.Since(began)
+	for n.world.Now().Sub(began) < stopMost {
+		world.Pause(n.world, stopPoll)
+		past := n.world.Now().Sub(began)
 		if past >= stopShutIdle {
 			n.server.shutIdle(stopQuiet)
 		}
@@ -156,14 +169,7 @@
 }
 
 func (n *Node) sweep(ctx context.Context) {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			n.up.sweep()
-		}
+	for world.Sleep(ctx, n.world, sweepEvery) {
+		n.up.sweep()
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/standin"
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -98,7 +99,7 @@
 // The backstop: what the module leaves open is failed, not refused, while an
 // attempt is out, and its connection is closed first.
 func TestBackstop(t *testing.T) {
-	c := clock{time.Now()}
+	c := newClock(world.Real{})
 	l := newLoop(c, nil, nil)
 	out := &attempt{id: 1, cancelled: false}
 	k := &call{cmd: make(chan command, 1), out: out}
@@ -138,7 +139,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	l := newLoop(clock{time.Now()}, g, pool(refusing(t)))
+	l := newLoop(newClock(world.Real{}), g, pool(refusing(t)))
 	held, out := &call{conn: conn, cmd: make(chan command, 1)}, &call{conn: conn, cmd: make(chan command, 1)}
 	held.ID, out.ID, out.out = 1, 2, &attempt{id: 2}
 	held.due, out.due = l.clock.now()+time.Hour, l.clock.now()+time.Hour
@@ -667,7 +668,7 @@
 
 // Start times in the list and the module's clock count from the same moment.
 func TestClock(t *testing.T) {
-	c := clock{time.Now()}
+	c := newClock(world.Real{})
 	now := c.now()
 	if d := time.Since(time.Unix(0, int64(now))); d < -time.Minute || d > time.Minute {
 		t.Errorf("off Unix time by %v", d)
@@ -698,7 +699,7 @@
 	}
 	peer, stranger := sock(), sock()
 	to := peer.LocalAddr().(*net.UDPAddr).AddrPort()
-	p, err := listenPeers("127.0.0.1:0", []netip.AddrPort{to}, netip.AddrPort{}, func(from int, data []byte) {
+	p, err := listenPeers(world.Real{}, "127.0.0.1:0", []netip.AddrPort{to}, netip.AddrPort{}, func(from int, data []byte) {
 		heard <- msg{from, string(data)}
 	})
 	if err != nil {
@@ -709,7 +710,7 @@
 	defer p.conn.Close()
 	go p.receive()
 	go p.send(done)
-	me := p.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	me := p.conn.Addr()
 	for _, d := range []struct {
 		c    *net.UDPConn
 		text string
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"net/netip"
+
+	"pepperfall.example/pepperfall/internal/world"
 )
 
 const (
@@ -15,7 +17,7 @@
 
 // peers carries the module's messages to the other edge nodes and back.
 type peers struct {
-	conn *net.UDPConn
+	conn world.PacketConn
 	to   []netip.AddrPort
 	all  netip.AddrPort
 	out  chan datagram
@@ -27,12 +29,8 @@
 	data []byte
 }
 
-func listenPeers(listen string, to []netip.AddrPort, all netip.AddrPort, hear func(int, []byte)) (*peers, error) {
-	addr, err := net.ResolveUDPAddr("udp", listen)
-	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
-	}
-	conn, err := net.ListenUDP("udp", addr)
+func listenPeers(w world.World, listen string, to []netip.AddrPort, all netip.AddrPort, hear func(int, []byte)) (*peers, error) {
+	conn, err := w.ListenPacket(listen)
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
@@ -70,7 +68,7 @@
 		case <-done:
 			return
 		case d := <-p.out:
-			_, _ = p.conn.WriteToUDPAddrPort(d.data, d.to) // lost like any other
+			_, _ = p.conn.WriteTo(d.data, d.to) // lost like any other
 		}
 	}
 }
@@ -83,14 +81,14 @@
 	}
 	buf := make([]byte, mostDatagram+1)
 	for {
-		n, addr, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, addr, err := p.conn.ReadFrom(buf)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue // an ICMP error of an earlier send
 		}
-		num, known := from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
+		num, known := from[addr]
 		if known && n > 0 && n <= mostDatagram {
 			p.hear(num, append([]byte(nil), buf[:n]...))
 		}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -6,6 +6,8 @@
 	"os"
 	"reflect"
 	"time"
+
+	"pepperfall.example/pepperfall/internal/world"
 )
 
 const (
@@ -32,7 +34,7 @@
 				slog.Error("new configuration passed over; the old one stays in force", "err", err)
 				break
 			}
-			if !sleep(ctx, reloadPause) {
+			if !world.Sleep(ctx, n.world, reloadPause) {
 				return
 			}
 		}
@@ -51,15 +53,3 @@
 	slog.Info("new configuration", "discovery", addr)
 	n.disc.moveTo(addr)
 }
-
-// sleep waits; it is false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -92,6 +92,7 @@
 	if n == 0 || n > 9 || c.budget > c.class.Deadline+time.Millisecond { // the settings' may have been rounded
 		return nil, fmt.Errorf("X-Deadline-Ms: not whole milliseconds up to the class's %v", c.class.Deadline)
 	}
+	c.effect = c.class.Effect
 	c.Retry = string(r.get("X-Retry")) == "1"
 	return c, s.terms(&c.Request, string(r.get("X-Call-Terms")))
 }
--- a/internal/node/send_test.go
+++ b/internal/node/send_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -15,10 +16,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	clk := clock{time.Now()}
+	clk := newClock(world.Real{})
 	l := newLoop(clk, g, nil)
 	now := clk.now()
-	c := &call{Request: policy.Request{ID: 1}, class: &policy.Class{Name: "loan", Effect: policy.Keyed, Window: 2 * time.Second},
+	c := &call{Request: policy.Request{ID: 1}, class: &policy.Class{Name: "loan", Effect: policy.Keyed, Window: 2 * time.Second}, effect: policy.Keyed,
 		due: now + 10*time.Second, cmd: make(chan command, 1)}
 	l.calls[1] = c
 	return l, c, now
@@ -37,7 +38,7 @@
 	if a := (<-c.cmd).attempt; a.writeBy != c.ranAt+2*time.Second || a.deadline != c.due {
 		t.Errorf("a repeat is to be written by %v and ends at %v, want 1s and %v", a.writeBy-now, a.deadline-now, c.due-now)
 	}
-	c.out, c.class = nil, &policy.Class{Name: "lookup"}
+	c.out, c.class, c.effect = nil, &policy.Class{Name: "lookup"}, policy.Safe
 	l.send(policy.Send{ID: 1, Server: 1})
 	if a := (<-c.cmd).attempt; a.writeBy != c.due {
 		t.Errorf("what may run any number of times is to be written by %v", a.writeBy-now)
@@ -65,3 +66,32 @@
 		}
 	}
 }
+
+// The rack's window of a keyed request begins with the first attempt that may
+// have run: a repeat that may have run too does not begin it anew, or a third
+// attempt could come when the rack has forgotten the first.
+func TestWindowBeginsWithTheFirstThatMayHaveRun(t *testing.T) {
+	l, c, now := sending(t)
+	c.cmd = make(chan command, 8)
+	l.attemptEnds(c, now-900*time.Millisecond, policy.ConnectFailed)
+	if c.ranAt != 0 {
+		t.Fatalf("an attempt that never ran began the window at %v", c.ranAt)
+	}
+	first := now - 800*time.Millisecond
+	l.attemptEnds(c, first, policy.Reset)
+	l.attemptEnds(c, now-300*time.Millisecond, policy.Reset)
+	if c.ranAt != first {
+		t.Fatalf("the window began %v after the first attempt that may have run", c.ranAt-first)
+	}
+	l.send(policy.Send{ID: 1, Server: 1})
+	if a := (<-c.cmd).attempt; a.writeBy != first+2*time.Second {
+		t.Errorf("the third attempt is to be written by %v after the first, want 2 s", a.writeBy-first)
+	}
+}
+
+// attemptEnds has the loop take in the end of an attempt asked for at a time.
+func (l *loop) attemptEnds(c *call, sent time.Duration, code policy.Code) {
+	c.out = &attempt{id: c.ID, num: c.attempts, server: 1, sent: sent}
+	c.attempts++
+	l.end(outcome{c: c, a: c.out, result: result{code: code}})
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/routing"
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -44,6 +46,8 @@
 	shut   int           // of them, closed here and not yet let go
 	active time.Duration // when a request last came
 	reuse  reuse
+
+	booked booked
 }
 
 // clientConn is a client's connection.
@@ -78,8 +82,13 @@
 	head
 	method, target []byte
 	body           []byte
+	ticket         *routing.Ticket // what it was read as under a book; nil: it is the platform's
+	id             string          // with a ticket: the client's, or one made here
 }
 
+// One finds a field for the book's reading.
+func (r *clientRequest) One(name string) ([]byte, int) { return r.one(name) }
+
 // newServer keeps at most so many connections open at once.
 func newServer(c clock, set policy.Settings, up *upstream, events chan<- any, most int) *server {
 	s := &server{clock: c, settings: set, up: up, events: events, most: most, conns: map[*clientConn]struct{}{}}
@@ -103,7 +112,7 @@
 			s.mu.Lock()
 			s.shutOne()
 			s.mu.Unlock()
-			time.Sleep(acceptPause)
+			world.Pause(s.clock, acceptPause)
 		default:
 			return err
 		}
@@ -282,17 +291,17 @@
 			wait = tune.FirstRequest
 		}
 		if cc.in.buffered() == 0 {
-			if cc.SetReadDeadline(time.Now().Add(wait)) != nil || cc.in.more() != nil {
+			if cc.SetReadDeadline(s.clock.Now().Add(wait)) != nil || cc.in.more() != nil {
 				return // idle for long, or gone
 			}
 		}
 		s.become(cc, connReading)
-		if !first && cc.SetReadDeadline(time.Now().Add(tune.WholeRequest)) != nil {
+		if !first && cc.SetReadDeadline(s.clock.Now().Add(tune.WholeRequest)) != nil {
 			return
 		}
 		if err := cc.read(); err != nil {
 			if status := statusOf(err); status != 0 {
-				s.turnAway(cc, status, err)
+				s.turnAway(cc, status, "", err.Error())
 			}
 			return
 		}
@@ -340,22 +349,26 @@
 // turnAway answers what can't be read and lets go of the connection. What the
 // client still sends is passed over for a while: were it closed at once, the
 // answer might never reach it.
-func (s *server) turnAway(cc *clientConn, status int, err error) {
+func (s *server) turnAway(cc *clientConn, status int, fields, why string) {
 	s.become(cc, connLinger)
-	if s.answer(cc, status, "Connection: close\r\n", err.Error()) != nil {
+	if s.answer(cc, status, fields+"Connection: close\r\n", why) != nil {
 		return
 	}
-	if tcp, ok := cc.Conn.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
+	if half, ok := cc.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
-	if cc.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
+	if cc.SetReadDeadline(s.clock.Now().Add(lingerFor)) == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(cc.Conn, lingerMost))
 	}
 }
 
 // answer writes an answer in one piece.
 func (s *server) answer(cc *clientConn, status int, fields, body string) error {
-	return cc.write(append(appendHead(cc.out[:0], status, fields, len(body)), body...), s.tune.Load().ClientWrite)
+	b := appendHead(cc.out[:0], status, fields, len(body))
+	if string(cc.req.method) != "HEAD" { // RFC 9110, 9.3.2: the length that a GET would have, and no body
+		b = append(b, body...)
+	}
+	return cc.write(b, s.clock.Now().Add(s.tune.Load().ClientWrite))
 }
 
 func appendHead(b []byte, status int, fields string, length int) []byte {
@@ -370,15 +383,15 @@
 	return append(b, "\r\n\r\n"...)
 }
 
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 408: "Request Timeout", 409: "Conflict",
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
 	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
 	503: "Service Unavailable"}
 
-func (cc *clientConn) write(b []byte, within time.Duration) error {
+func (cc *clientConn) write(b []byte, by time.Time) error {
 	if cc.out = b; cap(b) > 4*leastBuf {
 		cc.out = nil // a large one is not kept
 	}
-	if err := cc.SetWriteDeadline(time.Now().Add(within)); err != nil {
+	if err := cc.SetWriteDeadline(by); err != nil {
 		return err
 	}
 	_, err := cc.Write(b)
@@ -396,9 +409,9 @@
 		}
 		return s.reply(cc, 200, s.tune.Load().health(), "")
 	}
-	c, err := s.parse(r)
+	c, err := s.read(r)
 	if err != nil {
-		return s.bad(cc, 400, err.Error())
+		return s.bad(cc, err)
 	}
 	if !s.take(cc) {
 		return false
@@ -417,6 +430,7 @@
 			if len(res.contentType) > 0 {
 				fields = "Content-Type: " + res.contentType + "\r\n"
 			}
+			fields += r.told()
 			return s.reply(cc, 200, fields, res.body)
 		}
 	}
@@ -434,13 +448,13 @@
 
 // bad answers a request that can't be used, at once; the next one waits. A
 // client that sends nothing else is let go.
-func (s *server) bad(cc *clientConn, status int, why string) bool {
+func (s *server) bad(cc *clientConn, why *unusable) bool {
 	if cc.bad++; cc.bad < mostBad {
-		on := s.reply(cc, status, "", why)
-		time.Sleep(badPause)
+		on := s.reply(cc, why.status, why.fields, why.text)
+		world.Pause(s.clock, badPause)
 		return on
 	}
-	s.turnAway(cc, status, errors.New(why))
+	s.turnAway(cc, why.status, why.fields, why.text)
 	return false
 }
 
@@ -448,15 +462,15 @@
 func (s *server) final(cc *clientConn, cmd command) bool {
 	switch {
 	case cmd.bad != 0:
-		return s.bad(cc, cmd.bad, "this request can't be used")
+		return s.bad(cc, &unusable{cmd.bad, cc.req.told(), "this request can't be used"})
 	case !cmd.refuse:
 		cc.bad = 0
-		return s.reply(cc, 502, "", "failed")
+		return s.reply(cc, 502, cc.req.told(), "failed")
 	}
 	cc.bad = 0
-	fields := ""
+	fields := cc.req.told()
 	if cmd.retryAfter > 0 {
-		fields = "Retry-After: " + strconv.FormatFloat(cmd.retryAfter.Seconds(), 'f', -1, 64) + "\r\n"
+		fields += "Retry-After: " + strconv.FormatFloat(cmd.retryAfter.Seconds(), 'f', -1, 64) + "\r\n"
 	}
 	return s.reply(cc, 429, fields, "refused")
 }
--- a/internal/node/tuning.go
+++ b/internal/node/tuning.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"pepperfall.example/pepperfall/internal/routing"
 )
 
 // Tuning holds the figures that those who run an installation may change while
@@ -19,6 +21,9 @@
 	Discovery    string        // goes before the platform's address; empty: that one
 	Generation   string        // names these figures to whoever asks healthz; empty: none is told
 	Refused      string        // the last generation that was not taken over; empty: none
+
+	Routes  *routing.Table // what requests are read by; nil: as the platform has it
+	Pending string         // a revision of the book that waits to be accepted; empty: none
 }
 
 // DefaultTuning is what holds without an operator file.
@@ -31,6 +36,7 @@
 const (
 	GenerationField = "Pepperfall-Generation"
 	RefusedField    = "Pepperfall-Refused"
+	PendingField    = "Pepperfall-Pending"
 )
 
 // health is the header of a healthz answer.
@@ -41,6 +47,12 @@
 	if t.Refused != "" {
 		fields += RefusedField + ": " + t.Refused + "\r\n"
 	}
+	if t.Routes != nil {
+		fields += routing.BookField + ": " + t.Routes.Book.Generation + "\r\n"
+	}
+	if t.Pending != "" {
+		fields += PendingField + ": " + t.Pending + "\r\n"
+	}
 	return fields
 }
 
@@ -53,6 +65,9 @@
 	if old.Discovery != t.Discovery {
 		n.disc.moveTo(n.discoveryOf(t))
 	}
+	if was, is := old.Routes.Name(), t.Routes.Name(); was != is {
+		slog.Info("route book in force", "was", was, "is", is)
+	}
 	if old.Generation != t.Generation {
 		slog.Info("operator file in force", "generation", t.Generation)
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -10,9 +10,9 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -34,7 +34,8 @@
 // by themselves and don't tell whether its last byte was written.
 type upstream struct {
 	clock   clock
-	dial    net.Dialer
+	network world.Network
+	limit   time.Duration // for a connection to come up
 	idleFor time.Duration
 	grace   time.Duration
 	rest    time.Duration // before an idle connection is used again
@@ -69,7 +70,7 @@
 // Read gives up an answer that has begun and stops.
 func (c *upConn) Read(b []byte) (int, error) {
 	if len(c.in.buf) > 0 {
-		if err := c.SetReadDeadline(time.Now().Add(time.Duration(c.up.stall.Load()))); err != nil {
+		if err := c.SetReadDeadline(c.up.clock.Now().Add(time.Duration(c.up.stall.Load()))); err != nil {
 			return 0, err
 		}
 	}
@@ -260,44 +261,7 @@
 // alive tells whether nothing has come on an idle connection: neither its end
 // nor bytes that nobody asked for.
 func alive(c *upConn) bool {
-	return c.in.buffered() == 0 && peek(c.Conn) == peekQuiet
-}
-
-// What stands in a connection's receive buffer.
-type peeked int
-
-const (
-	peekQuiet peeked = iota // nothing
-	peekBytes
-	peekEnd // it is closed or broken
-)
-
-// peek looks without reading and without waiting, neither for bytes nor for a
-// goroutine that reads.
-func peek(c net.Conn) peeked {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return peekEnd
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return peekEnd
-	}
-	found := peekEnd
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case e == syscall.EAGAIN || e == syscall.EWOULDBLOCK || e == syscall.EINTR:
-			found = peekQuiet
-		case e == nil && n > 0:
-			found = peekBytes
-		}
-	})
-	if err != nil {
-		return peekEnd
-	}
-	return found
+	return c.in.buffered() == 0 && world.Peek(c.Conn) == world.PeekQuiet
 }
 
 // result is how an attempt ended.
@@ -355,7 +319,7 @@
 }
 
 func (u *upstream) connect(a *attempt, addr string) (net.Conn, error) {
-	ctx, stop := context.WithDeadline(context.Background(), u.clock.time(a.deadline))
+	ctx, stop := world.WithTimeout(context.Background(), u.clock.Clock, min(u.limit, a.deadline-u.clock.now()))
 	defer stop()
 	a.mu.Lock()
 	if a.cancelled {
@@ -364,7 +328,7 @@
 	}
 	a.stopDial = stop
 	a.mu.Unlock()
-	return u.dial.DialContext(ctx, "tcp", addr)
+	return u.network.Dial(ctx, "tcp", addr)
 }
 
 // exchange writes the request in one call and reads the answer. The number of
@@ -387,7 +351,7 @@
 	var r result
 	status, body, framed := 0, []byte(nil), false
 	if err == nil {
-		status, body, framed, err = c.answer()
+		status, body, framed, err = c.answer(string(req.method) == "HEAD")
 	}
 	if err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
@@ -413,8 +377,9 @@
 }
 
 // answer reads an answer. One that only the end of the connection would end is
-// not framed, and its body is left unread.
-func (c *upConn) answer() (status int, body []byte, framed bool, err error) {
+// not framed, and its body is left unread. One to HEAD has none, whatever its
+// length says (RFC 9112, 6.3).
+func (c *upConn) answer(bare bool) (status int, body []byte, framed bool, err error) {
 	for range mostInterim + 1 {
 		if err = c.in.readHead(&c.head, answerStart); err != nil {
 			return 0, nil, false, err
@@ -429,7 +394,7 @@
 		case status < 200:
 			c.in.begin() // it only announces the answer, which may take its time
 			continue
-		case status == 204 || status == 304:
+		case status == 204 || status == 304 || bare:
 			return status, nil, true, nil
 		case c.head.length == -2:
 			return status, nil, false, nil
@@ -448,19 +413,25 @@
 func appendRequest(b []byte, req *clientRequest, left time.Duration) []byte {
 	b = append(b, req.method...)
 	b = append(b, ' ')
-	b = append(b, req.target...)
-	b = append(b, " HTTP/1.1"...)
-	for _, key := range passedOn {
-		if v := req.get(key); len(v) > 0 {
-			b = append(b, "\r\n"...)
-			b = append(b, key...)
-			b = append(b, ": "...)
-			b = append(b, v...)
+	if req.ticket != nil {
+		b = append(b, req.ticket.Target...)
+		b = append(b, " HTTP/1.1"...)
+		b = req.appendFields(b)
+	} else {
+		b = append(b, req.target...)
+		b = append(b, " HTTP/1.1"...)
+		for _, key := range passedOn {
+			if v := req.get(key); len(v) > 0 {
+				b = append(b, "\r\n"...)
+				b = append(b, key...)
+				b = append(b, ": "...)
+				b = append(b, v...)
+			}
 		}
 	}
 	b = append(b, "\r\nX-Deadline-Ms: "...)
 	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
-	if string(req.method) != "GET" {
+	if m := string(req.method); m != "GET" && m != "HEAD" || len(req.body) > 0 {
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(req.body)), 10)
 	}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -10,12 +10,13 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/standin"
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
 // pool makes an upstream that knows one app server, number 1.
 func pool(addr string) *upstream {
-	u := &upstream{clock: clock{time.Now()}, dial: net.Dialer{Timeout: patience}, idleFor: time.Minute, most: 10,
+	u := &upstream{clock: newClock(world.Real{}), network: world.Real{}, limit: patience, idleFor: time.Minute, most: 10,
 		grace: 250 * time.Millisecond, fields: []string{"cpu", "rps"}, servers: map[policy.ServerID]*appServer{}}
 	u.stall.Store(int64(answerStall))
 	u.update(&serverList{Targets: []target{serving("s-00000001", addr)}}, true)
--- a/internal/openapi/load.go
+++ b/internal/openapi/load.go
@@ -1,8 +1,10 @@
 package openapi
 
 import (
-	"errors"
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"regexp"
 	"slices"
 	"strconv"
@@ -19,12 +21,18 @@
 
 // Bounds of a description. A file beyond them ends in an error before it is
 // read whole.
-const (
-	MostBytes   = 8 << 20
-	MostDepth   = 100    // of nested values
-	MostNodes   = 500000 // values, with aliases followed
-	MostAliases = 1000
-)
+type Bounds struct {
+	Bytes   int
+	Depth   int // of nested values
+	Values  int // with aliases followed
+	Aliases int // followed
+}
+
+// DefaultBounds let the largest descriptions through that are published: some
+// have 14 MB.
+func DefaultBounds() Bounds {
+	return Bounds{Bytes: 32 << 20, Depth: 100, Values: 5_000_000, Aliases: 10_000}
+}
 
 // Defaults say what holds for operations that declare nothing.
 type Defaults struct {
@@ -34,47 +42,65 @@
 	MostUnits   float64 // the settings' largest
 }
 
-// KeyPlace is where a security scheme says that clients put their API key.
-type KeyPlace struct {
-	In   string // header, query or cookie
-	Name string
-}
-
 // Description is what an OpenAPI description says of routes.
 type Description struct {
 	Title, Version string
 	Routes         []routebook.Route
-	Keys           []KeyPlace
+	Keys           []routebook.KeyPlace
+	Warnings       conffile.Faults // what no route rests on
 }
 
 // loader reads one description.
 type loader struct {
-	file   string
-	def    Defaults
-	out    Description
-	faults conffile.Faults
-	marks  marks // of the whole document
+	file     string
+	def      Defaults
+	bounds   Bounds
+	out      Description
+	faults   conffile.Faults
+	warnings int
+	lines    []int // of the text, by those of what remains of it
+	marks    marks // of the whole document
 }
 
 func (l *loader) fault(line int, where, format string, args ...any) {
 	l.faults = append(l.faults, conffile.Fault{File: l.file, Line: line, Key: where, Text: fmt.Sprintf(format, args...)})
 }
 
+// mostWarnings are told one by one; the others are counted.
+const mostWarnings = 100
+
+func (l *loader) warn(line int, where, format string, args ...any) {
+	if l.warnings++; l.warnings <= mostWarnings {
+		l.out.Warnings = append(l.out.Warnings, conffile.Fault{File: l.file, Line: line, Key: where, Text: fmt.Sprintf(format, args...)})
+	}
+}
+
+// at is the line of the text that a line of what remains of it came from.
+func (l *loader) at(line int) int {
+	if line > 0 && line < len(l.lines) {
+		return l.lines[line]
+	}
+	return 0
+}
+
 var lineOf = regexp.MustCompile(`line (\d+)`)
 
 // Load reads a description's text. The error is of type conffile.Faults, whose
-// keys are operations, and holds all that can be told at once.
-func Load(file string, text []byte, def Defaults) (*Description, error) {
-	l := &loader{file: file, def: def}
-	if !l.bounded(text) {
-		return nil, l.faults
+// keys are operations, and holds all that can be told at once. What no route,
+// cost or repeat rests on makes no fault but a warning.
+func Load(file string, text []byte, def Defaults, b Bounds) (*Description, error) {
+	l := &loader{file: file, def: def, bounds: b}
+	rest := l.trim(text)
+	if len(l.faults) > 0 {
+		return nil, l.sorted()
 	}
 	config := datamodel.NewDocumentConfiguration()
 	config.AllowFileReferences, config.AllowRemoteReferences = false, false
-	doc, err := libopenapi.NewDocumentWithConfiguration(text, config)
+	config.Logger = slog.New(slog.DiscardHandler) // what it has to say comes back as errors
+	doc, err := libopenapi.NewDocumentWithConfiguration(rest, config)
 	if err != nil {
 		l.library(err)
-		return nil, l.faults
+		return nil, l.sorted()
 	}
 	defer doc.Release()
 	if v := doc.GetVersion(); !strings.HasPrefix(v, "3.0") && !strings.HasPrefix(v, "3.1") {
@@ -84,16 +110,67 @@
 	model, err := doc.BuildV3Model()
 	if err != nil || model == nil {
 		l.library(err)
-		return nil, l.faults
+		return nil, l.sorted()
 	}
 	l.document(model.Model.GoLow())
 	if len(l.faults) > 0 {
-		slices.SortStableFunc(l.faults, func(a, b conffile.Fault) int { return a.Line - b.Line })
-		return nil, l.faults
+		return nil, l.sorted()
+	}
+	if n := l.warnings - mostWarnings; n > 0 {
+		l.out.Warnings = append(l.out.Warnings, conffile.Fault{File: l.file, Text: fmt.Sprintf("%d warnings more", n)})
 	}
 	return &l.out, nil
 }
 
+func (l *loader) sorted() conffile.Faults {
+	slices.SortStableFunc(l.faults, func(a, b conffile.Fault) int { return a.Line - b.Line })
+	return l.faults
+}
+
+// trim reads a text and writes anew what routes may rest on, for the library:
+// the rest is most of a large description.
+func (l *loader) trim(text []byte) []byte {
+	if len(text) > l.bounds.Bytes {
+		l.fault(0, "", "%d bytes; %d at most are read", len(text), l.bounds.Bytes)
+		return nil
+	}
+	t := newTrimmer(l)
+	var root *yaml.Node
+	if begin := bytes.TrimLeft(text, " \t\r\n\ufeff"); len(begin) > 0 && begin[0] == '{' && json.Valid(text) {
+		root = t.trimJSON(text)
+	} else {
+		root = t.trimYAML(text)
+	}
+	if root == nil || len(l.faults) > 0 {
+		return nil
+	}
+	t.check(root)
+	rest, err := yaml.Marshal(root)
+	if err != nil {
+		l.fault(0, "", "%v", err)
+		return nil
+	}
+	var again yaml.Node
+	if err := yaml.Unmarshal(rest, &again); err != nil {
+		l.fault(0, "", "%v", err)
+		return nil
+	}
+	l.lines = make([]int, bytes.Count(rest, []byte("\n"))+2)
+	l.match(&again, root)
+	return rest
+}
+
+// match finds which line of the text each line of what remains came from: that
+// of the first word in it, a key as a rule.
+func (l *loader) match(is, was *yaml.Node) {
+	if is.Kind == yaml.ScalarNode && is.Line < len(l.lines) && l.lines[is.Line] == 0 {
+		l.lines[is.Line] = was.Line
+	}
+	for i := range min(len(is.Content), len(was.Content)) {
+		l.match(is.Content[i], was.Content[i])
+	}
+}
+
 // library turns the library's errors into faults.
 func (l *loader) library(err error) {
 	if err == nil {
@@ -106,81 +183,18 @@
 	}
 	for _, e := range list {
 		line := 0
-		if m := lineOf.FindStringSubmatch(e.Error()); m != nil {
-			line, _ = strconv.Atoi(m[1])
-		}
-		l.fault(line, "", "%v", e)
-	}
-}
-
-// bounded checks the text's size, depth and aliases, and that no reference
-// leads out of it.
-func (l *loader) bounded(text []byte) bool {
-	if len(text) > MostBytes {
-		l.fault(0, "", "%d bytes; %d at most are read", len(text), MostBytes)
-		return false
-	}
-	var root yaml.Node
-	if err := yaml.Unmarshal(text, &root); err != nil {
-		l.library(err)
-		return false
-	}
-	if len(root.Content) == 0 {
-		l.fault(0, "", "empty")
-		return false
-	}
-	b := bounds{l: l, within: map[*yaml.Node]bool{}}
-	b.walk(&root, 0)
-	return len(l.faults) == 0
-}
-
-type bounds struct {
-	l              *loader
-	nodes, aliases int
-	within         map[*yaml.Node]bool // the aliases that are being followed
-}
-
-var errBounds = errors.New("bounds")
-
-func (b *bounds) walk(n *yaml.Node, depth int) error {
-	b.nodes++
-	switch {
-	case depth > MostDepth:
-		b.l.fault(n.Line, "", "nested deeper than %d", MostDepth)
-		return errBounds
-	case b.nodes > MostNodes:
-		b.l.fault(n.Line, "", "over %d values, with aliases followed", MostNodes)
-		return errBounds
-	}
-	if n.Kind == yaml.AliasNode {
-		if b.aliases++; b.aliases > MostAliases {
-			b.l.fault(n.Line, "", "over %d aliases", MostAliases)
-			return errBounds
-		}
-		if b.within[n.Alias] {
-			b.l.fault(n.Line, "", "an alias that holds itself")
-			return errBounds
-		}
-		b.within[n.Alias] = true
-		defer delete(b.within, n.Alias)
-		return b.walk(n.Alias, depth+1)
-	}
-	seen := map[string]bool{}
-	for i, c := range n.Content {
-		if n.Kind == yaml.MappingNode && i%2 == 0 {
-			if seen[c.Value] {
-				b.l.fault(c.Line, "", "the key %q stands there twice", c.Value)
+		text := lineOf.ReplaceAllStringFunc(e.Error(), func(s string) string {
+			n, _ := strconv.Atoi(lineOf.FindStringSubmatch(s)[1])
+			if len(l.lines) > 0 {
+				n = l.at(n)
 			}
-			seen[c.Value] = true
-			if v := n.Content[i+1]; c.Value == "$ref" && v.Kind == yaml.ScalarNode && !strings.HasPrefix(v.Value, "#") {
-				b.l.fault(v.Line, "", "the reference %q leads out of the file", v.Value)
+			if line == 0 {
+				line = n
 			}
-		}
-		if err := b.walk(c, depth+1); err != nil {
-			return err
-		}
+			return fmt.Sprintf("line %d", n)
+		})
+		l.fault(line, "", "%s", text)
 	}
-	return nil
 }
 
 // document reads the parts that routes follow from.
@@ -193,7 +207,7 @@
 	if c := d.Components.Value; c != nil && c.SecuritySchemes.Value != nil {
 		for _, s := range c.SecuritySchemes.Value.FromOldest() {
 			if s.Value != nil && s.Value.Type.Value == "apiKey" {
-				l.out.Keys = append(l.out.Keys, KeyPlace{s.Value.In.Value, s.Value.Name.Value})
+				l.out.Keys = append(l.out.Keys, routebook.KeyPlace{In: s.Value.In.Value, Name: s.Value.Name.Value})
 			}
 		}
 	}
@@ -202,16 +216,17 @@
 		return
 	}
 	for key, item := range d.Paths.Value.PathItems.FromOldest() {
-		l.path(key.Value, line(key.KeyNode), item.Value, bases)
+		l.path(key.Value, l.line(key.KeyNode), item.Value, bases)
 	}
 	if len(l.out.Routes) == 0 && len(l.faults) == 0 {
 		l.fault(0, "", "no operations: a book of none would turn every request away")
 	}
 }
 
-func line(n *yaml.Node) int {
+// line is where a node of what remains stands in the text.
+func (l *loader) line(n *yaml.Node) int {
 	if n == nil {
 		return 0
 	}
-	return n.Line
+	return l.at(n.Line)
 }
--- a/internal/openapi/operation.go
+++ b/internal/openapi/operation.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/url"
+	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pb33f/go-yaml"
 	"github.com/pb33f/libopenapi/datamodel/low"
@@ -13,11 +15,17 @@
 	"pepperfall.example/pepperfall/internal/routebook"
 )
 
+// mostDeadline is the longest that an operation may give its clients, in
+// milliseconds.
+const mostDeadline = 600_000
+
 // The extensions, at the document, a path or an operation; the nearest counts.
 const (
-	classMark  = "x-pepperfall-class"
-	unitsMark  = "x-pepperfall-units"
-	repeatMark = "x-pepperfall-repeat"
+	markPrefix   = "x-pepperfall-"
+	classMark    = markPrefix + "class"
+	unitsMark    = markPrefix + "units"
+	repeatMark   = markPrefix + "repeat"
+	deadlineMark = markPrefix + "deadline-ms"
 )
 
 type extensions = *orderedmap.Map[low.KeyReference[string], low.ValueReference[*yaml.Node]]
@@ -34,6 +42,7 @@
 	class  mark[string]
 	units  mark[routebook.Units]
 	repeat mark[routebook.Repeat]
+	limit  mark[time.Duration]
 }
 
 // marksOf reads the extensions of a place over those around it.
@@ -47,7 +56,7 @@
 		if n == nil {
 			continue
 		}
-		ln := n.Line
+		ln := l.line(n)
 		switch key.Value {
 		case classMark:
 			if n.Kind != yaml.ScalarNode || n.Value == "" {
@@ -66,9 +75,16 @@
 			if u, ok := l.units(at, n); ok {
 				m.units = mark[routebook.Units]{u, ln, at}
 			}
+		case deadlineMark:
+			ms, err := strconv.Atoi(n.Value)
+			if err != nil || ms < 1 || ms > mostDeadline {
+				l.fault(ln, at, "%s: %q is no whole number from 1 to %d", deadlineMark, n.Value, mostDeadline)
+				continue
+			}
+			m.limit = mark[time.Duration]{time.Duration(ms) * time.Millisecond, ln, at}
 		default:
-			if strings.HasPrefix(key.Value, "x-pepperfall-") {
-				l.fault(line(key.KeyNode), at, "unknown extension %s", key.Value)
+			if strings.HasPrefix(key.Value, markPrefix) {
+				l.fault(l.line(key.KeyNode), at, "unknown extension %s", key.Value)
 			}
 		}
 	}
@@ -80,13 +96,13 @@
 	u := routebook.Units{Most: l.def.MostUnits}
 	if n.Kind == yaml.ScalarNode {
 		if err := n.Decode(&u.Base); err != nil || !(u.Base > 0 && u.Base <= l.def.MostUnits) {
-			l.fault(n.Line, at, "%s: %q is no number above 0 and up to %v", unitsMark, n.Value, l.def.MostUnits)
+			l.fault(l.line(n), at, "%s: %q is no number above 0 and up to %v", unitsMark, n.Value, l.def.MostUnits)
 			return u, false
 		}
 		return u, true
 	}
 	if n.Kind != yaml.MappingNode {
-		l.fault(n.Line, at, "%s: neither a number nor an object", unitsMark)
+		l.fault(l.line(n), at, "%s: neither a number nor an object", unitsMark)
 		return u, false
 	}
 	u.Base, u.Per, u.Each = 0, 1, 1
@@ -106,21 +122,21 @@
 		case "most":
 			err = v.Decode(&u.Most)
 		default:
-			l.fault(k.Line, at, "%s: unknown key %q", unitsMark, k.Value)
+			l.fault(l.line(k), at, "%s: unknown key %q", unitsMark, k.Value)
 			ok = false
 		}
 		if err != nil {
-			l.fault(v.Line, at, "%s: %s: %q can't be read", unitsMark, k.Value, v.Value)
+			l.fault(l.line(v), at, "%s: %s: %q can't be read", unitsMark, k.Value, v.Value)
 			ok = false
 		}
 	}
 	switch {
 	case !ok:
 	case !(u.Base >= 0 && u.Each >= 0 && u.Base+u.Each > 0) || u.Per < 1 || u.Param == "":
-		l.fault(n.Line, at, "%s: needs a parameter, per from 1, and base or each above 0", unitsMark)
+		l.fault(l.line(n), at, "%s: needs a parameter, per from 1, and base or each above 0", unitsMark)
 		ok = false
 	case !(u.Most > 0 && u.Most <= l.def.MostUnits):
-		l.fault(n.Line, at, "%s: most is %v, the settings' largest is %v", unitsMark, u.Most, l.def.MostUnits)
+		l.fault(l.line(n), at, "%s: most is %v, the settings' largest is %v", unitsMark, u.Most, l.def.MostUnits)
 		ok = false
 	}
 	return u, ok
@@ -134,7 +150,7 @@
 			continue
 		}
 		at := s.Value.URL.Value
-		ln := line(s.Value.URL.ValueNode)
+		ln := l.line(s.Value.URL.ValueNode)
 		if vars := s.Value.Variables.Value; vars != nil {
 			for k, v := range vars.FromOldest() {
 				at = strings.ReplaceAll(at, "{"+k.Value+"}", v.Value.Default.Value)
@@ -179,7 +195,7 @@
 	}{{"GET", item.Get}, {"PUT", item.Put}, {"POST", item.Post}, {"DELETE", item.Delete}, {"OPTIONS", item.Options},
 		{"HEAD", item.Head}, {"PATCH", item.Patch}, {"TRACE", item.Trace}} {
 		if o.op.Value != nil {
-			l.operation(o.method, template, line(o.op.KeyNode), o.op.Value, item, around, bases)
+			l.operation(o.method, template, l.line(o.op.KeyNode), o.op.Value, item, around, bases)
 		}
 	}
 }
@@ -231,6 +247,10 @@
 	} else {
 		say(0, "", "units are the operator file's")
 	}
+	if m.limit.line > 0 {
+		r.Deadline = m.limit.value
+		say(m.limit.line, m.limit.at, "deadline is "+r.Deadline.String())
+	}
 	for i, b := range bases {
 		c := r
 		c.Template = b + template
@@ -253,5 +273,6 @@
 	return false
 }
 
-// place names a line of the description.
-func (l *loader) place(line int) string { return l.file + ":" + strconv.Itoa(line) }
+// place names a line of the description, wherever that lies: equal text gives
+// an equal book.
+func (l *loader) place(line int) string { return filepath.Base(l.file) + ":" + strconv.Itoa(line) }
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -12,10 +12,13 @@
 // File is a whole operator file. The tag "when" says for each key whether a
 // change takes effect at a reload (live) or at the next start (start).
 type File struct {
+	Revision  string    `toml:"revision" max:"64" when:"live"` // of the route book that must be in force; empty: any. A fleet's supervisor writes it
 	Clients   Clients   `toml:"clients"`
 	Upstream  Upstream  `toml:"upstream"`
 	Discovery Discovery `toml:"discovery"`
 	Process   Process   `toml:"process"`
+	Routes    Routes    `toml:"routes"`
+	Keys      Keys      `toml:"keys"`
 }
 
 // Clients is how long clients may take, and when their connections are ended.
@@ -52,6 +55,7 @@
 		Clients:  Clients{FirstRequestMS: 2000, WholeRequestMS: 2000, IdleMS: 10000, WriteMS: 5000, EndUnused: true},
 		Upstream: Upstream{RestMS: 5, StallMS: 250},
 		Process:  Process{Cores: 1, GCPercent: 400, MemoryPart: 0.7},
+		Routes:   defaultRoutes(),
 	}
 }
 
@@ -83,6 +87,7 @@
 				Text: fmt.Sprintf("%q is no IP address and port", a)})
 		}
 	}
+	faults = append(faults, l.checkRoutes()...)
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/rollout/planner_test.go
+++ b/internal/rollout/planner_test.go
@@ -103,6 +103,45 @@
 	}
 }
 
+// Backoffs double up to the most that is set, and stay there.
+func TestBackoffGrowsToItsMost(t *testing.T) {
+	c := config()
+	c.CrashLimit, c.BackoffMost = 100, 650*ms
+	s := newScript(t, c, 1)
+	s.want(Order{Start, "a"}, "launch n0 a; start ok=true a")
+	for _, want := range []time.Duration{100, 200, 400, 650, 650} {
+		s.want(Died{"n0", "exit status 2"}, "")
+		s.wait(want*ms - 1)
+		s.want(Tick{}, "")
+		s.wait(1)
+		s.want(Tick{}, "launch n0 a")
+	}
+}
+
+// Deaths further back than the span don't count: three within it make an
+// instance rest, three over more than it do not.
+func TestOldDeathsDontCount(t *testing.T) {
+	for _, c := range []struct {
+		apart time.Duration // between two deaths
+		want  Phase
+	}{{4999 * ms, Resting}, {5001 * ms, Waiting}} {
+		cfg := config()
+		cfg.StableAfter, cfg.HungAfter, cfg.ReadyWithin = time.Hour, time.Hour, time.Hour
+		s := newScript(t, cfg, 1)
+		s.want(Order{Start, "a"}, "launch n0 a; start ok=true a")
+		for i := range 3 {
+			if i > 0 {
+				s.wait(c.apart)
+				s.does(Tick{})
+			}
+			s.does(Died{"n0", "exit status 2"})
+		}
+		if got := s.p.Status()[0].Phase; got != c.want {
+			t.Errorf("three deaths %v apart: %v, want %v", c.apart, got, c.want)
+		}
+	}
+}
+
 func TestNeverReadyIsKilled(t *testing.T) {
 	s := newScript(t, config(), 1)
 	s.want(Order{Start, "a"}, "launch n0 a; start ok=true a")
--- a/internal/routebook/book.go
+++ b/internal/routebook/book.go
@@ -4,22 +4,34 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Book finds the route of a request. It is safe for use by any number of
 // goroutines.
 type Book struct {
-	Generation string
+	Generation string // names the revision that it was compiled from
+	Title      string // of the description; empty: routes by hand alone
+	Version    string // of the description
+	Keys       []KeyPlace
 	routes     []Route
+	warnings   Faults
 	root       node
 }
 
+// KeyPlace is where a security scheme says that clients put their API key
+// (OpenAPI 3.1, 4.8.27.1).
+type KeyPlace struct {
+	In   string // header, query or cookie
+	Name string
+}
+
 // node is a place in the tree of segments: a match costs by the path's length
 // and not by the number of routes.
 type node struct {
-	literals map[string]*node
-	param    *node
-	methods  []method // of the paths that end here, sorted
+	literals  map[string]*node
+	templated branches
+	methods   []method // of the paths that end here, sorted
 }
 
 type method struct {
@@ -48,9 +60,8 @@
 }
 
 // Compile makes a book. The error is of type Faults and holds all that is
-// wrong: two operations of one name, templates that differ only in the names
-// of their parameters, methods and templates that can't be meant, units that
-// are none.
+// wrong: two operations of one name, two that take the same requests, methods
+// and templates that can't be meant, units that are none.
 func Compile(generation string, routes []Route) (*Book, error) {
 	b := &Book{Generation: generation, routes: slices.Clone(routes)}
 	var faults Faults
@@ -70,7 +81,8 @@
 			fault("%q is no method", r.Method)
 			continue
 		}
-		if err := CheckTemplate(r.Template); err != nil {
+		segments, err := parseTemplate(r.Template)
+		if err != nil {
 			fault("path %s: %v", r.Template, err)
 			continue
 		}
@@ -78,20 +90,28 @@
 			fault("units %+v can't be meant", u)
 			continue
 		}
-		shape := shapeOf(r.Template)
-		if o := shapes[shape]; o != nil && o.Template != r.Template {
-			fault("path %s takes the same requests as %s at %s", r.Template, o.Template, o.Place)
+		if d := r.Deadline; d < 0 || d%time.Millisecond != 0 {
+			fault("a deadline of %v: whole milliseconds are told to clients and servers", d)
 			continue
-		} else if o == nil {
-			shapes[shape] = r
 		}
-		if o := b.add(r); o != nil {
+		o := b.add(r, segments)
+		shape := shapeOf(segments)
+		switch first := shapes[shape]; {
+		case o != nil && o.Template == r.Template:
 			fault("%s %s is there already, at %s", r.Method, r.Template, o.Place)
+		case o != nil:
+			fault("%s %s takes the same requests as %s at %s", r.Method, r.Template, o.Template, o.Place)
+		case first == nil:
+			shapes[shape] = r
+		case first.Template != r.Template:
+			b.warnings = append(b.warnings, Fault{r.Place, r.Operation, fmt.Sprintf("path %s is path %s, at %s, with other names of its parameters",
+				r.Template, first.Template, first.Place)})
 		}
 	}
 	if len(faults) > 0 {
 		return nil, faults
 	}
+	b.root.index()
 	return b, nil
 }
 
@@ -105,37 +125,30 @@
 }
 
 // shapeOf is a template without the names of its parameters.
-func shapeOf(t string) string {
-	parts := strings.Split(t, "/")
-	for i, p := range parts {
-		if strings.HasPrefix(p, "{") {
-			parts[i] = "{}"
-		}
+func shapeOf(segments []pattern) string {
+	s := ""
+	for i := range segments {
+		s += "/" + segments[i].shape()
 	}
-	return strings.Join(parts, "/")
+	return s
 }
 
 // add enters a route and returns the one that is in its place.
-func (b *Book) add(r *Route) *Route {
+func (b *Book) add(r *Route, segments []pattern) *Route {
 	n := &b.root
-	for seg := range strings.SplitSeq(r.Template[1:], "/") {
-		next := n.param
-		if seg == "" || seg[0] != '{' {
-			next = n.literals[seg]
+	for i := range segments {
+		if !segments[i].concrete() {
+			n = n.templated.add(segments[i])
+			continue
+		}
+		text := segments[i].first()
+		if n.literals == nil {
+			n.literals = map[string]*node{}
 		}
-		if next == nil {
-			next = &node{}
-			switch {
-			case seg != "" && seg[0] == '{':
-				n.param = next
-			default:
-				if n.literals == nil {
-					n.literals = map[string]*node{}
-				}
-				n.literals[seg] = next
-			}
+		if n.literals[text] == nil {
+			n.literals[text] = &node{}
 		}
-		n = next
+		n = n.literals[text]
 	}
 	i, there := slices.BinarySearchFunc(n.methods, r.Method, func(m method, name string) int { return strings.Compare(m.name, name) })
 	if there {
@@ -145,6 +158,19 @@
 	return nil
 }
 
+func (n *node) index() {
+	for _, to := range n.literals {
+		to.index()
+	}
+	n.templated.index()
+	for i := range n.templated.list {
+		n.templated.list[i].to.index()
+	}
+}
+
+// Warnings are what a book's writer should look at, though nothing is unclear.
+func (b *Book) Warnings() Faults { return b.warnings }
+
 // Routes returns all routes, in the order in which they were declared.
 func (b *Book) Routes() []Route { return b.routes }
 
@@ -159,10 +185,10 @@
 	BadPath        // 400: it has more than one reading
 )
 
-// Match finds the route of a request by method and path, without the query. A
-// concrete segment goes before a parameter, from the left (OpenAPI 3.1, 4.8.8.2),
-// whatever the methods below. With NoMethod, at is for Allow. It allocates
-// nothing.
+// Match finds the route of a request by method and path, without the query.
+// From the left, a concrete segment goes before a templated one (OpenAPI 3.1,
+// 4.8.8.2), and templated ones go in the order that pattern states, whatever
+// the methods below. With NoMethod, at is for Allow. It allocates nothing.
 func (b *Book) Match(m, path string) (r *Route, at Place, f Found) {
 	if CheckPath(path) != nil {
 		return nil, Place{}, BadPath
@@ -188,10 +214,10 @@
 			return found
 		}
 	}
-	if n.param != nil && seg != "" {
-		return n.param.follow(after, more)
+	if seg == "" {
+		return nil // a parameter is never empty
 	}
-	return nil
+	return n.templated.find(seg, after, more)
 }
 
 func (n *node) follow(after string, more bool) *node {
--- a/internal/routebook/diff.go
+++ b/internal/routebook/diff.go
@@ -11,7 +11,7 @@
 	Method    string `json:"method"`
 	Path      string `json:"path"`
 	Operation string `json:"operation"`
-	Kind      string `json:"kind"` // added, gone, dearer, cheaper, costs otherwise, more careful, less careful, another class
+	Kind      string `json:"kind"` // added, gone, dearer, cheaper, costs otherwise, more careful, less careful, another class, another deadline
 	Old       string `json:"old,omitempty"`
 	New       string `json:"new,omitempty"`
 }
@@ -30,7 +30,7 @@
 	index := func(b *Book) map[key]*Route {
 		m := map[key]*Route{}
 		for i := range b.routes {
-			m[key{shapeOf(b.routes[i].Template), b.routes[i].Method}] = &b.routes[i]
+			m[key{b.routes[i].shape(), b.routes[i].Method}] = &b.routes[i]
 		}
 		return m
 	}
@@ -52,6 +52,9 @@
 		} else if o.Careful(n) {
 			add(n, "less careful", o.Repeat.String(), n.Repeat.String())
 		}
+		if o.Deadline != n.Deadline {
+			add(n, "another deadline", o.Deadline.String(), n.Deadline.String())
+		}
 		if o.Units != n.Units {
 			kind := "costs otherwise"
 			if o.Units.Param == "" && n.Units.Param == "" {
@@ -89,3 +92,41 @@
 	}
 	return fmt.Sprintf("%g + %g for each started %d of %s, %g at most", u.Base, u.Each, u.Per, u.Param, u.Most)
 }
+
+// shape is the route's template without the names of its parameters.
+func (r *Route) shape() string {
+	segments, err := parseTemplate(r.Template)
+	if err != nil {
+		return r.Template
+	}
+	return shapeOf(segments)
+}
+
+// Review tells why a revision must not come into force unless an operator
+// accepts it: it drops more than a share of the operations, or lets run again
+// what must not have. Nothing to tell: it may.
+func Review(old, revised *Book, dropShare float64) (why []string) {
+	named := map[string]*Route{}
+	for i := range old.routes {
+		named[old.routes[i].Operation] = &old.routes[i]
+	}
+	for i := range revised.routes {
+		n := &revised.routes[i]
+		if o := named[n.Operation]; o != nil && o.Careful(n) && (o.Method != n.Method || o.shape() != n.shape()) {
+			why = append(why, fmt.Sprintf("less careful: %s, now %s %s: %v -> %v", n.Operation, n.Method, n.Template, o.Repeat, n.Repeat))
+		}
+	}
+	gone := 0
+	for _, c := range Diff(old, revised) {
+		switch c.Kind {
+		case "gone":
+			gone++
+		case "less careful":
+			why = append(why, c.String())
+		}
+	}
+	if n := len(old.routes); n > 0 && float64(gone) > dropShare*float64(n) {
+		why = append(why, fmt.Sprintf("it drops %d of %d operations; %.0f%% at most go without being accepted", gone, n, 100*dropShare))
+	}
+	return why
+}
--- a/internal/routebook/path.go
+++ b/internal/routebook/path.go
@@ -87,26 +87,30 @@
 
 // CheckTemplate tells what is wrong with a template.
 func CheckTemplate(t string) error {
+	_, err := parseTemplate(t)
+	return err
+}
+
+// parseTemplate reads a template's segments.
+func parseTemplate(t string) (list []pattern, err error) {
 	if t == "" || t[0] != '/' {
-		return errors.New("it does not begin with a slash")
+		return nil, errors.New("it does not begin with a slash")
 	}
 	plain := []byte{}
-	names := map[string]bool{}
+	seen := map[string]bool{}
 	for seg := range strings.SplitSeq(t[1:], "/") {
-		plain = append(plain, '/')
-		open, shut := strings.Count(seg, "{"), strings.Count(seg, "}")
-		switch {
-		case open == 0 && shut == 0:
-			plain = append(plain, seg...)
-		case open == 1 && shut == 1 && seg[0] == '{' && seg[len(seg)-1] == '}' && len(seg) > 2:
-			if names[seg] {
-				return errors.New("the parameter " + seg + " stands there twice")
+		p, names, err := parsePattern(seg)
+		if err != nil {
+			return nil, err
+		}
+		for _, name := range names {
+			if seen[name] {
+				return nil, errors.New("the parameter {" + name + "} stands there twice")
 			}
-			names[seg] = true
-			plain = append(plain, 'x')
-		default:
-			return errors.New("the parameter in " + seg + " is not a whole segment")
+			seen[name] = true
 		}
+		list = append(list, p)
+		plain = append(append(plain, '/'), strings.Join(p.texts, "x")...)
 	}
-	return CheckPath(string(plain))
+	return list, CheckPath(string(plain))
 }
--- a/internal/routebook/route.go
+++ b/internal/routebook/route.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Repeat says whether a request may run again.
@@ -92,8 +93,9 @@
 	Class     string
 	Units     Units
 	Repeat    Repeat
-	Place     string   // file and line that declare it
-	Why       []string // which line decided what, in sentences
+	Deadline  time.Duration // a client waits no longer; whole milliseconds, 0: as long as the class has it
+	Place     string        // file and line that declare it
+	Why       []string      // which line decided what, in sentences
 }
 
 // Careful tells whether r asks for more care about repeats than o.
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,141 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/keyring"
+	"pepperfall.example/pepperfall/internal/routebook"
+	"pepperfall.example/pepperfall/internal/wire"
+	"pepperfall.example/pepperfall/policy"
+)
+
+// Clients says who names the library of a request.
+type Clients string
+
+// Who may.
+const (
+	ByKey   Clients = "keys"  // ordinary clients, by an API key
+	ByFront Clients = "front" // the platform's front, by its own fields
+	ByBoth  Clients = "both"  // a request with a key by that, any other by the front's fields
+)
+
+// Options are an operator's choices beside book and keys.
+type Options struct {
+	Clients Clients
+	Pass    []string // header fields that go on to loan servers beside those of the protocol
+	PassKey bool     // keys go on too
+	Tell    bool     // answers and attempts name revision, operation and units
+}
+
+// Table is a book in force with all that requests are read by. It never
+// changes: a request keeps what it was read under.
+type Table struct {
+	Options
+	Book     *routebook.Book
+	ring     *keyring.Ring
+	places   []routebook.KeyPlace
+	classes  map[string]*policy.Class
+	plans    map[string]bool
+	gateways int
+}
+
+// fields that this edge node writes itself, or that belong to one connection
+// (RFC 9110, 7.6.1): none is passed on by name.
+var ownFields = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host", "Cookie", "X-Request-Id", "Idempotency-Key", "X-Class",
+	"X-Deadline-Ms", "X-Tier", "X-Call-Terms", "X-Retry", OperationField, BookField, UnitsField}
+
+// The fields that tell what a request was read as, where Options.Tell says so.
+const (
+	OperationField = "Pepperfall-Operation"
+	BookField      = "Pepperfall-Book"
+	UnitsField     = "Pepperfall-Units"
+)
+
+// NewTable puts a book in force under a node's settings. The error names every
+// route, key and field that does not fit them.
+func NewTable(set *policy.Settings, b *routebook.Book, ring *keyring.Ring, libraries []keyring.Library, o Options) (*Table, error) {
+	t := &Table{Options: o, Book: b, ring: ring, places: b.Keys, classes: map[string]*policy.Class{}, plans: map[string]bool{}, gateways: set.Gateways}
+	if o.Clients == "" {
+		t.Clients = ByKey
+	}
+	for i := range set.Classes {
+		t.classes[set.Classes[i].Name] = &set.Classes[i]
+	}
+	for i := range set.Plans {
+		t.plans[set.Plans[i].Name] = true
+	}
+	var faults []error
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	for _, r := range b.Routes() {
+		c := t.classes[wire.Word(r.Class)]
+		most := max(set.LargestUnits, 1)
+		switch {
+		case c == nil:
+			fault("%s: operation %s: the settings have no class %q", r.Place, r.Operation, r.Class)
+		case r.Units.Base > most || r.Units.Param != "" && r.Units.Most > most:
+			fault("%s: operation %s: units of up to %v, the settings' largest are %v", r.Place, r.Operation, max(r.Units.Base, r.Units.Most), most)
+		case r.Repeat != routebook.Safe && c.Effect == policy.Safe:
+			fault("%s: operation %s: class %s is safe to repeat, the operation is not marked so", r.Place, r.Operation, r.Class)
+		}
+	}
+	for _, l := range libraries {
+		switch {
+		case !t.plans[wire.Word(l.Plan)]:
+			fault("key of library %s: the settings have no plan %q", l.Number, l.Plan)
+		case l.Spread < 1 || l.Spread > set.Gateways || l.First < 0 || l.First >= set.Gateways:
+			fault("key of library %s: a set of %d edge nodes from number %d, of %d", l.Number, l.Spread, l.First, set.Gateways)
+		}
+	}
+	for _, k := range b.Keys {
+		if k.In != "header" && k.In != "query" && k.In != "cookie" || k.Name == "" {
+			fault("a security scheme has its key in %q, named %q: header, query and cookie are known", k.In, k.Name)
+		}
+	}
+	if len(b.Keys) == 0 && t.Clients != ByFront {
+		fault("the book names no security scheme of type apiKey: there is no place where a client's key could stand")
+	}
+	for _, f := range o.Pass {
+		if slices.ContainsFunc(ownFields, func(own string) bool { return strings.EqualFold(own, f) }) {
+			fault("the field %s is not passed on by name", f)
+		}
+		if !o.PassKey && slices.ContainsFunc(b.Keys, func(k routebook.KeyPlace) bool { return k.In == "header" && strings.EqualFold(k.Name, f) }) {
+			fault("the field %s holds keys, which go on only where pass_key says so", f)
+		}
+	}
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	return t, nil
+}
+
+// Name is the revision of the table's book; "none" where there is no table.
+func (t *Table) Name() string {
+	if t == nil {
+		return "none"
+	}
+	return t.Book.Generation
+}
+
+// effectOf is the decision module's word for a repeat.
+func effectOf(r routebook.Repeat) policy.Effect {
+	switch r {
+	case routebook.Safe:
+		return policy.Safe
+	case routebook.Keyed:
+		return policy.Keyed
+	}
+	return policy.Unsafe
+}
+
+// deadline is how long a client of an operation may wait.
+func deadline(r *routebook.Route, c *policy.Class) time.Duration {
+	if r.Deadline > 0 {
+		return min(r.Deadline, c.Deadline)
+	}
+	return c.Deadline
+}
--- a/internal/standin/door.go
+++ b/internal/standin/door.go
@@ -21,9 +21,10 @@
 	front *Front
 	NodeAddr
 
-	mu   sync.Mutex
-	up   bool
-	idle []*link // newest last
+	mu     sync.Mutex
+	up     bool
+	ending time.Time // when its process was last about to be ended outright
+	idle   []*link   // newest last
 }
 
 // link is a client's connection.
@@ -48,6 +49,8 @@
 	took   time.Duration
 	advice time.Duration
 	left   bool // the client went away itself
+	book   string
+	units  float64
 }
 
 func (d *door) isUp() bool {
@@ -84,6 +87,14 @@
 	return d.setUp(resp.StatusCode == http.StatusOK)
 }
 
+// outlived tells whether the process that a connection led to was ended
+// outright since it was opened.
+func (d *door) outlived(l *link) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.ending.Before(l.opened)
+}
+
 func (d *door) now() time.Time { return d.front.site.world.Now() }
 
 func (d *door) connect(ctx context.Context) (*link, error) {
@@ -129,7 +140,8 @@
 }
 
 // ask sends a request; ok is false when the edge node could not be reached.
-// One that crosses the end of its connection is sent once more on a new one.
+// One that crosses the end of its connection is sent once more on a new one,
+// but not where the edge node's process was killed: it may have been at work.
 func (d *door) ask(q *question) (r reply, ok bool) {
 	churn := d.front.chance(d.front.cfg.Churn)
 	l, err := d.take(churn)
@@ -164,8 +176,12 @@
 		f.mu.Unlock()
 	}
 	_ = l.SetDeadline(began.Add(limit))
-	f.note(audit.Asked{Request: q.id, Node: d.Name, Customer: q.customer.Key, Plan: q.customer.Plan, Class: q.class,
-		Key: q.key, Units: q.units, Deadline: q.deadline})
+	asked := audit.Asked{Request: q.id, Node: d.Name, Customer: q.customer.Key, Plan: q.customer.Plan, Class: q.class,
+		Key: q.key, Units: q.units, Deadline: q.deadline}
+	if q.ask != nil {
+		asked.Operation, asked.Query = q.ask.Name, q.query
+	}
+	f.note(asked)
 	if _, err := l.Write(q.message()); err != nil {
 		f.note(audit.Unasked{Request: q.id})
 		l.Close()
@@ -188,6 +204,10 @@
 		if s, e := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); e == nil {
 			r.advice = time.Duration(s * float64(time.Second))
 		}
+		if r.book = resp.Header.Get("Pepperfall-Book"); r.book != "" {
+			r.units, _ = strconv.ParseFloat(resp.Header.Get("Pepperfall-Units"), 64)
+			f.note(audit.ReadAs{Request: q.id, Revision: r.book, Units: r.units})
+		}
 		f.note(audit.Answered{Request: q.id, Status: r.status, Genuine: Genuine(string(body), q.id)})
 		l.used++
 		d.after(l, resp.Close, churn)
@@ -200,7 +220,7 @@
 	r.left = false
 	f.note(audit.Lost{Request: q.id, Reused: l.used > 0 && !errors.Is(err, os.ErrDeadlineExceeded), Begun: begun,
 		Age: d.now().Sub(l.opened)})
-	crossed = l.used > 0 && !begun && !errors.Is(err, os.ErrDeadlineExceeded)
+	crossed = l.used > 0 && !begun && !errors.Is(err, os.ErrDeadlineExceeded) && !d.outlived(l)
 	l.Close()
 	return r, crossed, true
 }
@@ -224,6 +244,9 @@
 
 // message is the request as PROTOCOL has it.
 func (q *question) message() []byte {
+	if q.ask != nil {
+		return q.ordinary()
+	}
 	method, body := http.MethodGet, ""
 	if q.key != "" {
 		method, body = http.MethodPost, "loan="+q.id
@@ -239,3 +262,25 @@
 	}
 	return append(append(b, "\r\n"...), body...)
 }
+
+// ordinary is a request of a client that knows the description and its key.
+func (q *question) ordinary() []byte {
+	target := q.path
+	if q.query != "" {
+		target += "?" + q.query
+	}
+	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: catalogue.example\r\nX-Api-Key: %s\r\nX-Request-Id: %s\r\n", q.ask.Method, target,
+		q.customer.APIKey, q.id)
+	if q.retry {
+		b = append(b, "X-Retry: 1\r\n"...)
+	}
+	if q.key != "" {
+		b = fmt.Appendf(b, "Idempotency-Key: %s\r\n", q.key)
+	}
+	body := ""
+	if q.ask.Method != http.MethodGet && q.ask.Method != http.MethodDelete {
+		body = "loan=" + q.id
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(body))
+	}
+	return append(append(b, "\r\n"...), body...)
+}
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,19 @@
 	Spread int
 	Every  time.Duration // 0: it asks all the time; else anew each time,
 	For    time.Duration // for so long
+
+	APIKey string // an ordinary client's: it asks Operations, and says nothing that the platform's front says
+}
+
+// Operation is what ordinary clients ask.
+type Operation struct {
+	Name, Method string
+	Path         string // as it is asked; a # stands for a number that is drawn
+	Query        string // without the question mark; a # likewise
+	Class        string // as whose deadline its client waits
+	Keyed        bool   // sent with an Idempotency-Key
+	Safe         bool   // its client asks again after a failure
+	Share        float64
 }
 
 // FrontConfig says how clients behave. Zero values: clients that don't retry,
@@ -32,6 +47,7 @@
 	Nodes     []NodeAddr
 	Customers []Customer
 	Settings  Settings
+	Asks      []Operation // by customers with an API key
 	Seed      uint64
 	Retries   int           // further tries after the first
 	Backoff   time.Duration // before a further try, doubled each time
@@ -69,6 +85,16 @@
 	HungUp, Crossed, Unsent        int
 	Classes                        map[string]*ClassTally
 	Customers                      map[string]*CustomerTally
+	Operations                     map[string]*OperationTally
+	Statuses                       map[int]int
+}
+
+// OperationTally is the same for an operation, with what answers said that it
+// was charged.
+type OperationTally struct {
+	Asked, Served, Refused, Failed int
+	Charged                        float64 // units
+	Books                          map[string]int
 }
 
 // ClassTally is the same for a class.
@@ -111,7 +137,7 @@
 		cfg.Patience = 3 * time.Second
 	}
 	f := &Front{site: s, cfg: cfg, classes: map[string]Class{}, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x66726f6e74)),
-		tally: Tally{Classes: map[string]*ClassTally{}, Customers: map[string]*CustomerTally{}}}
+		tally: Tally{Classes: map[string]*ClassTally{}, Customers: map[string]*CustomerTally{}, Operations: map[string]*OperationTally{}, Statuses: map[int]int{}}}
 	for _, n := range cfg.Nodes {
 		f.nodes = append(f.nodes, &door{front: f, NodeAddr: n})
 	}
@@ -119,6 +145,9 @@
 		f.classes[c.Name] = c
 		f.tally.Classes[c.Name] = &ClassTally{}
 	}
+	for _, o := range cfg.Asks {
+		f.tally.Operations[o.Name] = &OperationTally{Books: map[string]int{}}
+	}
 	for _, c := range cfg.Customers {
 		if c.Spread < 1 || c.Spread > len(f.nodes) || c.First < 0 || c.First >= len(f.nodes) {
 			return nil, fmt.Errorf("customer %s: a set of %d edge nodes from number %d, of %d", c.Key, c.Spread, c.First, len(f.nodes))
@@ -143,6 +172,12 @@
 		c := *v
 		t.Customers[k] = &c
 	}
+	t.Operations, t.Statuses = map[string]*OperationTally{}, maps.Clone(f.tally.Statuses)
+	for k, v := range f.tally.Operations {
+		o := *v
+		o.Books = maps.Clone(v.Books)
+		t.Operations[k] = &o
+	}
 	return t
 }
 
@@ -180,8 +215,11 @@
 				if c.Every > 0 && f.site.world.Now().Sub(began)%c.Every >= c.For {
 					continue
 				}
-				t := &loan{customer: c, class: "holdings-lookup", units: 1}
-				if rnd.Float64() < c.Loans {
+				t := &loan{customer: c, class: "holdings-lookup", units: 1, safe: true}
+				if c.APIKey != "" {
+					t = f.ordinary(c, rnd)
+				} else if rnd.Float64() < c.Loans {
+					t.safe = false
 					t.class, t.units, t.key = "loan-request", max(1, c.Units), fmt.Sprintf("%016x%016x", rnd.Uint64(), rnd.Uint64())
 				}
 				if !f.enter() {
@@ -234,6 +272,32 @@
 	class    string
 	key      string
 	units    float64
+	safe     bool // it is asked again after a failure
+	ask      *Operation
+	path     string // of an ordinary client
+	query    string
+}
+
+// ordinary draws what an ordinary client asks.
+func (f *Front) ordinary(c Customer, rnd *rand.Rand) *loan {
+	sum := 0.0
+	for _, o := range f.cfg.Asks {
+		sum += o.Share
+	}
+	at := rnd.Float64() * sum
+	ask := &f.cfg.Asks[0]
+	for i := range f.cfg.Asks {
+		ask = &f.cfg.Asks[i]
+		if at -= ask.Share; at < 0 {
+			break
+		}
+	}
+	number := func(s string) string { return strings.ReplaceAll(s, "#", fmt.Sprint(1+rnd.IntN(50))) }
+	t := &loan{customer: c, class: ask.Class, safe: ask.Safe, ask: ask, path: number(ask.Path), query: number(ask.Query)}
+	if ask.Keyed {
+		t.key = fmt.Sprintf("%016x%016x", rnd.Uint64(), rnd.Uint64())
+	}
+	return t
 }
 
 // pursue makes a client's tries until it is served, has to give up, or has
@@ -242,7 +306,7 @@
 	backoff := f.cfg.Backoff
 	for n := 0; ; n++ {
 		end, advice := f.try(t, n > 0)
-		again := end == refused || end == unreached || t.key == "" && end == failed
+		again := end == refused || end == unreached || t.safe && end == failed
 		if !again || n >= f.cfg.Retries || ctx.Err() != nil {
 			return
 		}
@@ -291,6 +355,22 @@
 	return unreached, 0
 }
 
+func (o *OperationTally) count(r reply) {
+	o.Asked++
+	switch {
+	case r.status == http.StatusOK:
+		o.Served++
+		o.Charged += r.units
+	case r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable:
+		o.Refused++
+	case !r.left:
+		o.Failed++
+	}
+	if r.book != "" {
+		o.Books[r.book]++
+	}
+}
+
 // count books what became of a try.
 func (f *Front) count(t *loan, r reply) (end, time.Duration) {
 	f.mu.Lock()
@@ -299,6 +379,10 @@
 	f.tally.Asked++
 	c.Asked++
 	u.Asked++
+	f.tally.Statuses[r.status]++
+	if t.ask != nil {
+		f.tally.Operations[t.ask.Name].count(r)
+	}
 	switch {
 	case r.left:
 		f.tally.HungUp++
@@ -310,7 +394,7 @@
 		f.tally.Served++
 		c.Served++
 		u.Served++
-		u.Units += t.units
+		u.Units += max(t.units, r.units)
 		if len(c.Latencies) < mostSamples {
 			c.Latencies = append(c.Latencies, r.took)
 		}
@@ -328,6 +412,19 @@
 
 func (f *Front) note(ev audit.Event) { f.site.notary.Note(ev) }
 
+// Dying tells that an edge node's process is about to be ended outright. What
+// was sent to it and not answered is not sent to it once more: it may have
+// begun on that, which is not so where it closes a connection by itself.
+func (f *Front) Dying(node string) {
+	for _, d := range f.nodes {
+		if d.Name == node {
+			d.mu.Lock()
+			d.ending = d.now()
+			d.mu.Unlock()
+		}
+	}
+}
+
 // Await waits until an edge node takes clients; it is false when ctx ended
 // first or there is no such edge node.
 func (f *Front) Await(ctx context.Context, node string) bool {
--- a/internal/standin/loan.go
+++ b/internal/standin/loan.go
@@ -236,6 +236,10 @@
 	}
 	work := l.cfg.Work(r)
 	now := l.site.world.Now()
+	if book := r.Header.Get("Pepperfall-Book"); book != "" {
+		units, _ := strconv.ParseFloat(r.Header.Get("Pepperfall-Units"), 64)
+		l.site.notary.Note(audit.ReadAs{Request: id, Server: l.cfg.UID, Revision: book, Units: units})
+	}
 	a := &attempt{request: id, server: l.cfg.UID, conn: c}
 	l.site.began(a, audit.Sent{Request: id, Server: l.cfg.UID, Began: now.Sub(r.Began), Work: work.Seconds() * 1000})
 	defer l.site.over(a)
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"pepperfall.example/pepperfall/internal/audit"
@@ -119,30 +118,18 @@
 }
 
 // hungUp tells whether the other side has ended its sending or reset the
-// connection. It neither reads nor waits.
+// connection. It neither reads nor waits. A connection of a network in memory
+// may know more than has arrived.
 func hungUp(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	over := true
-	if raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		over = e != syscall.EAGAIN && e != syscall.EWOULDBLOCK && e != syscall.EINTR && n <= 0
-	}) != nil {
+	if p, ok := c.(interface{ PeerClosed() bool }); ok && p.PeerClosed() {
 		return true
 	}
-	return over
+	return world.Peek(c) == world.PeekEnd
 }
 
 // reset ends a connection so that the other side sees it as broken.
 func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	c.Close()
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -342,3 +343,53 @@
 		t.Errorf("%d breaks, first: %v", len(b), b[0])
 	}
 }
+
+// A request whose connection its edge node closes is sent once more; one whose
+// edge node was killed is not, since that may have begun on it.
+func TestClientSendsAnewOnlyWhatWasNotBegun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		killed bool
+		want   int64 // requests with the second question's id
+	}{{"closed", false, 2}, {"killed", true, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			site := NewSite(world.Real{}, Nobody{})
+			var front *Front
+			var second atomic.Int64
+			node, err := ServeRaw(world.Real{}, "127.0.0.1:0", func(conn net.Conn, r *Request) bool {
+				if r.Header.Get("X-Request-Id") == "q2" {
+					if second.Add(1) == 1 {
+						if c.killed {
+							front.Dying("n0")
+						}
+						return false
+					}
+				}
+				return NoFault.write(conn, "200 OK", "", Body(r.Header.Get("X-Request-Id"), "s"))
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer node.Close()
+			if front, err = site.NewFront(FrontConfig{Nodes: []NodeAddr{{"n0", node.Addr()}}, Settings: SiteSettings(1)}); err != nil {
+				t.Fatal(err)
+			}
+			d := front.nodes[0]
+			defer d.closeIdle()
+			ask := func(id string) reply {
+				r, _ := d.ask(&question{loan: &loan{class: "loan-request", key: "k", units: 1, customer: Customer{Key: "0000000000000001", Spread: 1}},
+					id: id, deadline: 5 * time.Second})
+				return r
+			}
+			if r := ask("q1"); r.status != 200 {
+				t.Fatalf("the first question: %+v", r)
+			}
+			if r := ask("q2"); (r.status == 200) == c.killed {
+				t.Errorf("the second question: %+v", r)
+			}
+			if n := second.Load(); n != c.want {
+				t.Errorf("the second question came %d times, want %d", n, c.want)
+			}
+		})
+	}
+}
