--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -83,6 +83,7 @@
 	if ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me {
 		return
 	}
+	g.intake++
 	switch m := decode(ev.Data).(type) {
 	case ask:
 		if int(m.Plan) < len(g.set.Plans) && int(m.Class) < len(g.set.Classes) && m.Spread > 0 {
@@ -297,11 +298,50 @@
 	}
 }
 
+// stale tells whether a held request can no longer meet its aim. One that came
+// in elsewhere is given up there so long after it came, and a grant has a way to
+// go: a place granted later is lost until its lease runs out.
+func (g *Gateway) stale(r *request) bool {
+	limit := time.Duration(holdAim * float64(r.cl.Aim))
+	if r.remote {
+		limit -= 2 * g.reply
+	}
+	return g.now-r.arrived > limit
+}
+
+// age refuses held requests that are stale, while a retry can still help, and in
+// any case before the deadline.
+func (g *Gateway) age(c *customer) {
+	for _, r := range slices.Clone(c.held) {
+		if g.stale(r) || g.now+2*g.tick >= r.deadline {
+			g.refuse(r)
+		}
+	}
+}
+
+// answer tells the asking gateway a root's verdict, and what part of such asks
+// fits. Under a cap alone that follows from the places that are asked for and
+// from what the root's mail still bears.
+func (g *Gateway) answer(r *request, v byte) {
+	fill := small(250 * max(0, r.c.store) / max(1, r.c.plan.Burst))
+	part := 1.0
+	if r.c.plan.Rate == 0 && r.c.plan.Open > 0 {
+		left := max(askedLeast, 1-g.intake/demandSpan.Seconds()/max(1, g.set.MailPerSecond))
+		part = min(1, left*float64(r.c.plan.Open)*demandSpan.Seconds()/r.c.rate)
+	} else if r.c.store < retryReserve*r.c.plan.Burst {
+		part = min(1, r.c.plan.Rate*demandSpan.Seconds()/max(r.c.rate, 1))
+	}
+	g.do(Tell{To: r.root, Data: encode(answer{r.tag, v, fill, small(100 * g.strain), small(250 * part)})})
+}
+
 // advice is when a retry may find room: once the store will have filled up to
-// what a repeat needs, and no sooner than the next ticks.
+// what a repeat needs, and no sooner than the next ticks. Under a cap alone that
+// is when attempts end; a large fleet's ticks are far longer.
 func (g *Gateway) advice(r *request) time.Duration {
 	c, wait := r.c, 2*g.tick.Seconds()
-	if c.plan.Rate > 0 {
+	if c.plan.Rate == 0 {
+		wait = min(wait, g.mean)
+	} else {
 		need := r.units + retryReserve*c.plan.Burst - g.allowance(c)
 		wait = max(wait, need/c.plan.Rate)
 	}
--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -295,3 +295,73 @@
 		t.Errorf("not asked again: %v", acts)
 	}
 }
+
+// A customer that has a cap alone and asks far more than fits must not drown its
+// root: each gateway takes in what its mail bears, and most of the cap is used.
+func TestCapAloneDoesNotDrownItsRoot(t *testing.T) {
+	w := newCrowd(t, 100, fleet(40))
+	second, got := time.Duration(0), map[int]int{}
+	lost := 0
+	w.lose = func(_, to int) bool {
+		if w.now/time.Second != second {
+			second = w.now / time.Second
+			clear(got)
+		}
+		if got[to]++; got[to] > int(base().MailPerSecond) {
+			lost++
+			return true
+		}
+		return false
+	}
+	asked := 0
+	w.pass(20*time.Second, func(at time.Duration) {
+		for range 3 {
+			if at < 29*time.Second {
+				asked++
+				w.request(asked*37%100, RequestID(asked), "k", "open", "safe", 100)
+			}
+		}
+	})
+	if passed := len(w.sends); passed < 300 {
+		t.Errorf("%d of %d passed, with %d of %d messages lost", passed, asked, lost, w.told)
+	}
+	if lost > w.told/4 {
+		t.Errorf("%d of %d messages lost", lost, w.told)
+	}
+}
+
+// Under a cap alone room comes when attempts end: a repeat is advised as soon,
+// though a large fleet's ticks are longer.
+func TestAdviceUnderACapAlone(t *testing.T) {
+	for _, c := range []struct {
+		plan string
+		most time.Duration
+	}{{"open", 120 * ms}, {"rate", 500 * ms}} {
+		w := newCrowd(t, 100, fleet(10))
+		g := w.gs[0]
+		r := &request{c: g.account(keyOf("k"), g.plans[c.plan], 0, 100), units: 1}
+		if got := g.advice(r); got > c.most || got <= 0 {
+			t.Errorf("plan %s: advised after %v, want %v at most", c.plan, got, c.most)
+		}
+	}
+}
+
+// An attempt that outlasts its aim still has its place: how long servers take,
+// not the aim, says when one not told of as ended is taken for over.
+func TestLeaseOutlastsASlowAttempt(t *testing.T) {
+	w := newCrowd(t, 100, fleet(10))
+	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["open"], 0, 50)
+	roots, _ := w.gs[0].roots(c)
+	root := w.gs[roots[0]]
+	root.classes["safe"].mean = 0.5 // servers take that long of 800 ms
+	m := encode(ask{Customer: keyOf("k"), Spread: 50, Plan: 2, Units: 1, Left: 3000, Tag: 9, Thin: 250, Fill: unknownStore})
+	w.do(roots[0], PeerMessage{From: 99, Data: m})
+	w.pass(1200*ms, nil)
+	if out := root.customers[keyOf("k")].out; out != 1 {
+		t.Errorf("%d places taken after 1.2 s, want 1", out)
+	}
+	w.pass(4*time.Second, nil)
+	if out := root.customers[keyOf("k")].out; out != 0 {
+		t.Errorf("%d places taken after 5.2 s, want 0", out)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,7 +57,7 @@
 
 	mostOut  = 0.7  // when more are out of use they are used all the same
 	gateAim  = 0.4  // mean latency over aim above which the gate closes
-	blindAim = 0.25 // and where gateways don't see the load at servers
+	blindAim = 0.35 // and where gateways don't see the load at servers
 
 	gateShut, gateOpen = 3 * time.Second, 8 * time.Second // to 1/e in this time, and opens
 	gateLeast          = 0.25                             // enough to learn from when all is well again
@@ -76,7 +76,8 @@
 	replySpread  = 2.5                   // and for this many mean times
 	unheardPower = 4.0                   // what no root answers passes with this power of the share answered
 	thinSpan     = 20 * time.Second      // a root's word of what part fits is heeded so long
-	leaseAim     = 1.0                   // an attempt not told of as ended counts for this part of its aim
+	askedLeast   = 0.1                   // part of a cap that is asked for at a root whose mail is full
+	leaseMeans   = 8.0                   // an attempt not told of as ended counts for so many mean latencies
 	mostPace     = 12.0                  // most a server's pace is taken for
 	paceLearn    = 0.025                 // weight of an outcome in the pace at its watcher
 	paceStep     = 1.7                   // a pace is told when it changed by this factor
@@ -292,11 +293,11 @@
 		g.admit(r)
 		return
 	}
-	// Of a customer far above its quota only the part that fits is asked for:
+	// Of a customer far above its quota or cap only the part that fits is asked for:
 	// its root could not take in all its asks, nor those of others then. Harms
 	// for as long as thinSpan when the customer stops asking for more.
 	r.asks = 1
-	if c.plan.Rate > 0 && c.told > 0 {
+	if c.told > 0 {
 		r.asks = min(1, c.part+(g.now-c.partAt).Seconds()/thinSpan.Seconds())
 	}
 	if g.rng.Float64() > r.asks {
@@ -444,7 +445,7 @@
 	for ; n > 0 && len(c.held) > 0; n-- {
 		r := c.held[0]
 		g.advance(c)
-		if !g.within(r) {
+		if !g.within(r) || r.remote && g.stale(r) {
 			g.refuse(r)
 			continue
 		}
@@ -659,6 +660,7 @@
 	}
 	g.sumLoads()
 	g.adapt(dt)
+	g.intake *= math.Exp(-dt.Seconds() / demandSpan.Seconds())
 	for _, s := range g.fleet {
 		// What is not tried is not learned: an old judgement wears off.
 		s.wear(min(1, dt.Seconds()/slowSpan.Seconds()))
@@ -688,16 +690,6 @@
 	}
 }
 
-// age refuses held requests that can no longer meet their aim, while a retry
-// can still help, and in any case before the deadline.
-func (g *Gateway) age(c *customer) {
-	for _, r := range slices.Clone(c.held) {
-		if g.now-r.arrived > time.Duration(holdAim*float64(r.cl.Aim)) || g.now+2*g.tick >= r.deadline {
-			g.refuse(r)
-		}
-	}
-}
-
 // news tells whether peers must hear of a customer.
 func (c *customer) news() bool {
 	return len(c.set) > 0 && (c.out > 0 || c.mean > 0 || len(c.held) > 0 || c.fresh > 0)
@@ -793,29 +785,22 @@
 	}
 	g.advance(c)
 	c.seen, c.sums = g.now, true
-	c.rate += float64(m.Units) * 250 / float64(max(1, m.Thin))
-	g.admit(g.requestOf(c, from, m))
+	r := g.requestOf(c, from, m)
+	c.rate += r.demand() * 250 / float64(max(1, m.Thin))
+	g.admit(r)
 }
 
 // grant counts a member's request and tells it to go.
 func (g *Gateway) grant(r *request) {
 	c := r.c
 	c.take(r)
-	c.leases[lease{r.root, r.tag}] = leased{g.now + time.Duration(leaseAim*float64(r.cl.Aim)), r}
+	until := g.now + time.Duration(leaseMeans*r.cl.mean*float64(time.Second))
+	c.leases[lease{r.root, r.tag}] = leased{until, r}
 	c.count(g.now, 1)
 	r.counted, r.over = true, true
 	g.answer(r, granted)
 }
 
-func (g *Gateway) answer(r *request, v byte) {
-	fill := small(250 * max(0, r.c.store) / max(1, r.c.plan.Burst))
-	part := 1.0
-	if r.c.store < retryReserve*r.c.plan.Burst {
-		part = min(1, r.c.plan.Rate*demandSpan.Seconds()/max(r.c.rate, 1))
-	}
-	g.do(Tell{To: r.root, Data: encode(answer{r.tag, v, fill, small(100 * g.strain), small(250 * part)})})
-}
-
 func (g *Gateway) onAnswer(from int, m answer) {
 	r := g.asks[m.Tag]
 	if r == nil || r.root != from || r.over {
--- a/policy/state.go
+++ b/policy/state.go
@@ -195,6 +195,7 @@
 	live      int     // servers in the list that run
 	mean      float64 // seconds an idle server takes, over all classes
 	minAim    float64 // the shortest aim, in seconds
+	intake    float64 // messages taken in, decayed over demandSpan
 	heard     float64 // share of asks that are answered
 	own       float64 // weight of an outcome in a server's pace here
 	gate      float64 // part of the requests let in
@@ -213,6 +214,15 @@
 	c.out += d
 }
 
+// demand is what a request counts for in its customer's rate at a root: its
+// units, or the seconds that it needs a place for under a cap alone.
+func (r *request) demand() float64 {
+	if r.c.plan.Rate == 0 {
+		return r.cl.mean
+	}
+	return r.units
+}
+
 // settle takes or gives back units after a guess.
 func (c *customer) settle(units float64) {
 	c.store -= units
