Pass bodies on in pieces beyond a window, both ways

Need: bodies were held whole at a gate, up to 8 MB each, on any number of connections. Now a body up to 16 KB is held whole, as before: it may be sent again, and an answer cut short in it never began for its client. Of a longer one no more than that is held at a time; the sides wait for each other. A request of which something was taken beyond the window goes to no second server. max_body_bytes bounds what a client may send, in place of the fixed bound.

The bytes written decide as before: a body whose last byte was not written has not run.

--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -19,7 +19,6 @@
 )
 
 const (
-	estateBody   = 8 << 20 // bytes of a body that are held here at most
 	estateDial   = 250 * time.Millisecond
 	estateIdle   = 6 * time.Second // an idle connection to an app server is used again within it
 	estateMail   = 40.0            // datagrams a second from each to all others
@@ -156,6 +155,7 @@
 	t := DefaultTuning()
 	t.FirstRequest, t.WholeRequest = p.Limits.HeaderTimeout, 2*p.Limits.HeaderTimeout
 	t.ClientIdle, t.EndUnused = p.Limits.IdleTimeout, false
+	t.BodyStall = p.Limits.HeaderTimeout
 	e.node.server.tune.Store(&t)
 	services := map[string]grove.Service{}
 	for _, b := range p.Backends {
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -63,11 +63,16 @@
 		b = append(b, "\r\n"+fieldTenant+": "...)
 		b = append(b, req.estate.tenant...)
 	}
-	if m := string(req.method); m != "GET" && m != "HEAD" || len(req.body) > 0 {
+	if req.estate.front.unread() {
+		b = appendFrame(b, &req.head)
+	} else if m := string(req.method); m != "GET" && m != "HEAD" || len(req.body) > 0 {
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(req.body)), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
+	if req.estate.front.unread() {
+		return appendPiece(b, &req.head, req.body)
+	}
 	return append(b, req.body...)
 }
 
@@ -80,7 +85,7 @@
 
 // passOn makes of an app server's answer what its client gets: status, fields and body unchanged, the frame
 // written anew.
-func passOn(h *head, status int, body []byte, bare bool) []byte {
+func passOn(h *head, status int, body []byte, bare, more bool) []byte {
 	b := make([]byte, 0, 256+len(body))
 	b = append(b, answerStart...)
 	b = append(b, h.first[len(answerStart):]...)
@@ -94,6 +99,10 @@
 		}
 		b = appendField(b, f)
 	}
+	if more {
+		b = append(appendFrame(b[:len(b)-2], h), "\r\n\r\n"...)
+		return appendPiece(b, h, body)
+	}
 	if !bare && status != 204 && status != 304 {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(len(body)), 10)
@@ -120,29 +129,49 @@
 	if !whole {
 		return result{code: policy.ConnectFailed}, false
 	}
-	bare := string(req.method) == "HEAD"
-	status, body, framed := 0, []byte(nil), false
+	bare, written := string(req.method) == "HEAD", u.clock.now()
+	status, body, framed, unsent := 0, []byte(nil), false, req.estate.front.unread()
 	for range mostSurplus {
 		if err != nil {
 			break
 		}
-		if status, body, framed, err = c.answer(bare); err != nil || string(c.head.get(fieldID)) == req.estate.id {
+		if unsent {
+			var end *result
+			if unsent, end = u.upload(a, c, req); end != nil {
+				return *end, false
+			}
+			written = u.clock.now()
+		}
+		if status, body, framed, err = c.answer(bare, unsent); err != nil || string(c.head.get(fieldID)) == req.estate.id {
 			break
 		}
 		if !framed {
 			err = errFraming
 		}
+		for p := []byte{0}; len(p) > 0 && err == nil && c.in.unread(); {
+			p, err = c.in.piece()
+		}
 		c.in.begin() // it answers another request
 		status = 0
 	}
+	spent := req.estate.front.spent()
 	if err != nil || status == 0 {
+		if unsent && !req.estate.front.ending() { // and never will be sent
+			return result{code: policy.ConnectFailed, spent: spent}, false
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
-			return result{code: policy.TimedOut}, false
+			return result{code: policy.TimedOut, spent: spent}, false
 		}
-		return result{code: policy.Reset}, false
+		return result{code: policy.Reset, spent: spent}, false
 	}
 	r := u.verdict(c, status, body, framed, bare)
-	reuse := framed && c.in.buffered() == 0 && !c.head.has("Connection", "close")
+	if r.spent = spent; spent || c.in.unread() {
+		r.latency = max(1, u.clock.now()-written)
+	}
+	if c.in.unread() {
+		u.download(a, c, req, &r)
+	}
+	reuse := framed && !unsent && !c.in.unread() && c.in.buffered() == 0 && !c.head.has("Connection", "close")
 	c.in.begin()
 	return r, reuse
 }
@@ -162,9 +191,9 @@
 	case status == 503 || status == 429 || status == 408:
 		// It makes no promise, so that none may be made of it.
 	case status >= 500:
-		r.answer = passOn(h, status, body, bare)
+		r.answer = passOn(h, status, body, bare, c.in.unread())
 	default:
-		r.code, r.answer = policy.OK, passOn(h, status, body, bare)
+		r.code, r.answer = policy.OK, passOn(h, status, body, bare, c.in.unread())
 	}
 	return r
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -78,6 +78,12 @@
 	result
 }
 
+// started tells the loop that an attempt is passed on in pieces.
+type started struct {
+	c *call
+	a *attempt
+}
+
 type listed struct {
 	list *serverList
 	kind policy.MembersKind
@@ -160,6 +166,8 @@
 		l.arrive(ev)
 	case outcome:
 		l.end(ev)
+	case started:
+		l.decide(policy.Started{ID: ev.a.id, Attempt: ev.a.num, Server: ev.a.server})
 	case policy.PeerMessage:
 		l.decide(ev)
 	case listed:
@@ -193,6 +201,9 @@
 	c, ev := o.c, policy.Outcome{ID: o.a.id, Attempt: o.a.num, Server: o.a.server, Code: o.code,
 		Latency: l.clock.now() - o.a.sent, Load: o.load}
 	c.out = nil
+	if o.latency > 0 {
+		ev.Latency = o.latency
+	}
 	if o.answer != nil {
 		c.last = o.answer
 	}
@@ -200,12 +211,14 @@
 		c.ranAt = o.a.sent
 	}
 	switch {
-	case o.code == policy.OK:
+	case o.code == policy.OK || o.begun || o.fault != nil:
 		l.forget(c)
 	case o.unfit && c.final == nil:
 		l.answer(c, command{bad: statusBadRequest})
 	case c.final != nil:
 		l.answer(c, *c.final)
+	case o.spent: // there is nothing to send again
+		l.answer(c, command{retryAfter: refusedWait})
 	}
 	ev.Over = l.calls[c.ID] == nil
 	l.decide(ev)
@@ -308,7 +321,7 @@
 		l.send(a)
 	case policy.Cancel:
 		if c := l.calls[a.ID]; c != nil && c.out != nil && c.out.num == a.Attempt {
-			c.out.cancel()
+			c.out.recall()
 		}
 	case policy.Refuse:
 		if c := l.calls[a.ID]; c != nil {
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -29,10 +29,13 @@
 // understood in two ways, since an app server or a front might understand it
 // the other way. Slices that it gives hold until begin.
 type stream struct {
-	src  io.Reader
-	buf  []byte
-	off  int // what comes before has been used
-	most int // bytes of a body; 0: mostBody
+	src    io.Reader
+	buf    []byte
+	off    int       // what comes before has been used
+	most   int       // bytes of a body; 0: mostBody
+	window int       // bytes of a body that are read whole, the others in pieces; 0: all
+	rest   remainder // of a body longer than the window
+	own    bool      // nobody needs what has been used of buf
 }
 
 // bound is the most bytes that a body may have.
@@ -53,13 +56,13 @@
 	} else {
 		s.buf = s.buf[:copy(s.buf, rest)]
 	}
-	s.off = 0
+	s.off, s.rest, s.own = 0, remainder{}, false
 }
 
 // more reads what comes next, at least a byte.
 func (s *stream) more() error {
 	if len(s.buf) == cap(s.buf) {
-		s.buf = append(make([]byte, 0, max(leastBuf, 2*cap(s.buf))), s.buf...)
+		s.widen()
 	}
 	n, err := s.src.Read(s.buf[len(s.buf):cap(s.buf)])
 	s.buf = s.buf[:len(s.buf)+n]
@@ -74,6 +77,9 @@
 
 // take returns the next n bytes.
 func (s *stream) take(n int) ([]byte, error) {
+	if s.window > 0 && n > mostDoubled && s.off+n > cap(s.buf) {
+		s.buf, s.off = append(make([]byte, 0, n), s.buf[s.off:]...), 0
+	}
 	for s.buffered() < n {
 		if err := s.more(); err != nil {
 			return nil, err
@@ -196,27 +202,31 @@
 	return false
 }
 
-// readBody reads the body that the head tells of.
+// readBody reads the body that the head tells of, of a longer one what the window holds.
 func (s *stream) readBody(h *head) ([]byte, error) {
+	window := s.bound()
+	if s.window > 0 {
+		window = s.window
+	}
 	if h.length >= 0 {
-		return s.take(h.length)
+		n := min(h.length, window)
+		s.rest.left = h.length - n
+		return s.take(n)
 	}
 	var body []byte
 	for h.length == -1 {
-		line, err := s.lines("", false, mostLine)
+		n, err := s.chunk(len(body))
 		if err != nil {
 			return nil, err
 		}
-		size, _, _ := bytes.Cut(line[:len(line)-2], []byte(";"))
-		n, ok := hexadecimal(size)
-		switch {
-		case !ok:
-			return nil, errFraming
-		case len(body)+n > s.bound():
-			return nil, errLongBody
-		case n == 0:
+		if n == 0 {
 			return body, s.trailer()
 		}
+		if len(body)+n > window {
+			part, err := s.take(window - len(body))
+			s.rest = remainder{left: n - len(part), total: len(body) + n, chunks: true}
+			return append(body, part...), err
+		}
 		chunk, err := s.take(n + 2)
 		if err != nil {
 			return nil, err
@@ -229,6 +239,23 @@
 	return body, nil
 }
 
+// chunk reads the size of the next chunk of a body of which so many bytes have come.
+func (s *stream) chunk(total int) (int, error) {
+	line, err := s.lines("", false, mostLine)
+	if err != nil {
+		return 0, err
+	}
+	size, _, _ := bytes.Cut(line[:len(line)-2], []byte(";"))
+	n, ok := hexadecimal(size)
+	switch {
+	case !ok:
+		return 0, errFraming
+	case n > s.bound()-total:
+		return 0, errLongBody
+	}
+	return n, nil
+}
+
 // trailer passes over what follows the last chunk.
 func (s *stream) trailer() error {
 	for range mostFields {
--- a/internal/node/message_test.go
+++ b/internal/node/message_test.go
@@ -67,7 +67,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		// Not through upConn.Read, which sets deadlines on a socket.
 		c := upConn{in: stream{src: bytes.NewReader(data)}}
-		status, body, framed, err := c.answer(false)
+		status, body, framed, err := c.answer(false, false)
 		if err != nil || !framed {
 			return
 		}
--- a/internal/node/passing.go
+++ b/internal/node/passing.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -47,6 +48,8 @@
 type passing struct {
 	id     string
 	tenant string // empty: it needs none
+	front  front  // who sent it
+	over   bool   // its answer, passed on as it came, is the connection's last
 }
 
 func className(r *plot.Route, service string) string {
@@ -78,6 +81,14 @@
 	return e.freshFor == 0 || now-time.Duration(e.confirmed.Load()) < e.freshFor
 }
 
+// longest is how many bytes a body may have. Before there is a configuration no request is served.
+func (e *estate) longest() int {
+	if t := e.tilled.Load(); t != nil && t.plot.Limits.MaxBodyBytes < math.MaxInt {
+		return int(t.plot.Limits.MaxBodyBytes)
+	}
+	return math.MaxInt
+}
+
 // unready turns a request away that can't be decided about yet.
 func unready(why string) *unusable {
 	return &unusable{503, "Retry-After: " + strconv.FormatFloat(refusedWait.Seconds(), 'f', -1, 64) + "\r\n", why}
@@ -199,6 +210,16 @@
 
 // pass answers a request of the system's wire; it is false when the connection is over.
 func (s *server) pass(cc *clientConn) bool {
+	on := s.served(cc)
+	if !cc.in.unread() {
+		return on
+	}
+	s.become(cc, connLinger)
+	s.passOver(cc, lingerBody)
+	return false
+}
+
+func (s *server) served(cc *clientConn) bool {
 	r := &cc.req
 	c, turned := s.estate.read(r)
 	if turned != nil {
@@ -212,6 +233,7 @@
 		return false
 	}
 	c.conn, r.estate = cc.Conn, c.estate
+	c.estate.front = front{s: s, cc: cc, call: c}
 	s.events <- c
 	for {
 		select {
@@ -223,7 +245,12 @@
 			}
 			res := s.up.do(cmd.attempt, r)
 			s.events <- outcome{c, cmd.attempt, res}
-			if res.code == policy.OK {
+			switch {
+			case res.fault != nil:
+				return s.broken(cc, res.fault)
+			case res.begun:
+				return res.whole && !c.estate.over
+			case res.code == policy.OK:
 				return s.whole(cc, res.answer)
 			}
 		}
@@ -254,12 +281,18 @@
 
 // whole writes an app server's answer, made by passOn.
 func (s *server) whole(cc *clientConn, answer []byte) bool {
-	over := s.draining.Load() || cc.req.over()
+	answer, over := s.closing(cc, answer)
+	return cc.write(answer, s.clock.Now().Add(s.tune.Load().ClientWrite)) == nil && !over
+}
+
+// closing tells the client, where it is so, that this is the connection's last answer.
+func (s *server) closing(cc *clientConn, answer []byte) ([]byte, bool) {
+	over := s.draining.Load() || cc.req.over() || cc.in.unread()
 	if over {
 		const more = "Connection: close\r\n"
 		if i := bytes.Index(answer, []byte("\r\n")); i >= 0 {
 			answer = slices.Insert(answer, i+2, []byte(more)...)
 		}
 	}
-	return cc.write(answer, s.clock.Now().Add(s.tune.Load().ClientWrite)) == nil && !over
+	return answer, over
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -27,6 +27,7 @@
 
 	lingerFor  = 500 * time.Millisecond // a client that still sends is given so long to read why not
 	lingerMost = 256 << 10              // bytes
+	lingerBody = 16 << 20               // of a body whose beginning was read
 )
 
 // server is the clients' side: it reads their requests, hands them to the
@@ -146,7 +147,7 @@
 	}
 	cc := &clientConn{Conn: c, since: s.clock.now()}
 	if s.estate != nil {
-		cc.in.most = estateBody
+		cc.in.window = bodyWindow
 	}
 	cc.touched = cc.since
 	cc.in.src = c
@@ -303,6 +304,9 @@
 			}
 		}
 		s.become(cc, connReading)
+		if s.estate != nil {
+			cc.in.most = s.estate.longest()
+		}
 		if !first && cc.SetReadDeadline(s.clock.Now().Add(tune.WholeRequest)) != nil {
 			return
 		}
@@ -328,7 +332,7 @@
 	if err := r.startLine(); err != nil {
 		return err
 	}
-	if _, n := r.one("Expect"); n > 0 && r.length > cc.in.buffered() {
+	if _, n := r.one("Expect"); n > 0 && (r.length > cc.in.buffered() || r.length == -1 && cc.in.window > 0 && cc.in.buffered() == 0) {
 		if _, err := io.WriteString(cc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return err
 		}
@@ -358,14 +362,18 @@
 // answer might never reach it.
 func (s *server) turnAway(cc *clientConn, status int, fields, why string) {
 	s.become(cc, connLinger)
-	if s.answer(cc, status, fields+"Connection: close\r\n", why) != nil {
-		return
+	if s.answer(cc, status, fields+"Connection: close\r\n", why) == nil {
+		s.passOver(cc, lingerMost)
 	}
+}
+
+// passOver ends the sending and lets go of what the client still sends.
+func (s *server) passOver(cc *clientConn, most int64) {
 	if half, ok := cc.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
 	if cc.SetReadDeadline(s.clock.Now().Add(lingerFor)) == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(cc.Conn, lingerMost))
+		_, _ = io.Copy(io.Discard, io.LimitReader(cc.Conn, most))
 	}
 }
 
@@ -456,7 +464,7 @@
 
 // reply answers a request; the connection goes on if both sides want it.
 func (s *server) reply(cc *clientConn, status int, fields, body string) bool {
-	over := s.draining.Load() || cc.req.over() || s.lastAnswer(cc)
+	over := s.draining.Load() || cc.req.over() || cc.in.unread() || s.lastAnswer(cc)
 	if over {
 		fields += "Connection: close\r\n"
 	}
--- /dev/null
+++ b/internal/node/streams_test.go
@@ -0,0 +1,278 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/grove"
+	"pepperfall.example/pepperfall/internal/plot"
+)
+
+const (
+	many      = 3<<20 + 5
+	mostBytes = 4 << 20 // by the configuration
+	patient   = "Deadline-Ms: 1900\r\n"
+)
+
+// content is a body in which no part looks like another.
+func content(n int) []byte {
+	b := make([]byte, 0, n+8)
+	for i := 0; len(b) < n; i++ {
+		b = fmt.Appendf(b, "%07x ", i)
+	}
+	return b[:n]
+}
+
+// enframed is a body as it goes on the wire behind a head, with the fields that tell of it.
+func enframed(body []byte, chunked bool) (fields string, wire []byte) {
+	if !chunked {
+		return fmt.Sprintf("Content-Length: %d\r\n", len(body)), body
+	}
+	for len(body) > 0 {
+		n := min(len(body), 10007)
+		wire = append(fmt.Appendf(wire, "%x;x=y\r\n", n), body[:n]...)
+		wire, body = append(wire, "\r\n"...), body[n:]
+	}
+	return "Transfer-Encoding: chunked\r\n", append(wire, "0\r\nA: b\r\n\r\n"...)
+}
+
+// upload is a request with such a body.
+func upload(path string, body []byte, chunked bool) []byte {
+	fields, wire := enframed(body, chunked)
+	head := wired(path, patient)
+	head = strings.TrimSuffix(head, "Content-Length: 4\r\n\r\nbody")
+	return append([]byte(head+fields+"\r\n"), wire...)
+}
+
+// visit is a request as a server saw it.
+type visit struct {
+	*http.Request
+	body []byte
+	err  error // before its end
+}
+
+// hall is a server whose connections a test plays itself.
+type hall struct {
+	mu     sync.Mutex
+	visits []visit
+	ended  int // connections that the gate has ended
+	conns  []net.Conn
+}
+
+func (h *hall) seen() []visit {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.visits
+}
+
+// complete counts the requests that came whole.
+func (h *hall) complete() (n int) {
+	for _, v := range h.seen() {
+		if v.err == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// open makes one server of the site, and the configuration with bounds. before is done when a request's head has
+// come, after when all of it has, each till it is false; nil: nothing, and an answer.
+func (r *rig) open(before, after func(c net.Conn, q *http.Request) bool) *hall {
+	h := &hall{}
+	ln, err := r.net.Listen(r.t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() {
+		ln.Close()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, c := range h.conns {
+			c.Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.conns = append(h.conns, c)
+			h.mu.Unlock()
+			go h.talk(c, before, after)
+		}
+	}()
+	r.list = []grove.Listed{{ID: "i-0", Service: "x", Address: ln.Addr().String(), Zone: "a", Slots: 9}}
+	r.tell()
+	p, err := plot.Parse([]byte(strings.Replace(estatePlot, `"gen":"r1",`, fmt.Sprintf(
+		`"gen":"r2","limits":{"max_body_bytes":%d,"header_timeout_ms":700},`, mostBytes), 1)))
+	assert.NilError(r.t, err)
+	r.Plot(p)
+	return h
+}
+
+func (h *hall) talk(c net.Conn, before, after func(c net.Conn, q *http.Request) bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			h.mu.Lock()
+			h.ended++
+			h.mu.Unlock()
+			return
+		}
+		if before != nil && !before(c, q) {
+			return
+		}
+		body, err := io.ReadAll(q.Body)
+		h.mu.Lock()
+		h.visits = append(h.visits, visit{q, body, err})
+		h.mu.Unlock()
+		if err != nil || after != nil && !after(c, q) {
+			return
+		}
+		if after == nil {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nContent-Length: 3\r\n\r\nyes", q.Header.Get(fieldID))
+		}
+	}
+}
+
+// send writes a request without waiting for its end.
+func (r *rig) send(b []byte) net.Conn {
+	c := r.dial()
+	go func() { _, _ = c.Write(b) }()
+	return c
+}
+
+// told is an answer with a body, as a server writes it.
+func told(q *http.Request, status string, body []byte, chunked bool) []byte {
+	fields, wire := enframed(body, chunked)
+	return append(fmt.Appendf(nil, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nServer-Seal: s\r\n%s\r\n", status, q.Header.Get(fieldID), fields), wire...)
+}
+
+func framings(t *testing.T, test func(t *testing.T, chunked bool)) {
+	for _, chunked := range []bool{false, true} {
+		t.Run(map[bool]string{false: "length", true: "chunks"}[chunked], func(t *testing.T) { test(t, chunked) })
+	}
+}
+
+// Bodies of any size go both ways unchanged, and the connections go on behind them.
+func TestBodiesPass(t *testing.T) {
+	framings(t, func(t *testing.T, chunked bool) {
+		play(t, false, func(r *rig) {
+			h := r.open(nil, func(c net.Conn, q *http.Request) bool {
+				n := int(q.ContentLength)
+				_, _ = fmt.Sscan(q.Header.Get("X-Want"), &n)
+				_, err := c.Write(told(q, "200 OK", content(n), chunked))
+				return err == nil
+			})
+			c := r.dial()
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for _, n := range []int{0, 1, bodyWindow - 1, bodyWindow, bodyWindow + 1, 2 * bodyWindow, 5*10007 + 1, many} {
+				b := bytes.Replace(upload("/act/", content(n), chunked), []byte("Deadline-Ms"), fmt.Appendf(nil, "X-Want: %d\r\nDeadline-Ms", n), 1)
+				go func() { _, _ = c.Write(b) }()
+				a, err := http.ReadResponse(in, nil)
+				assert.NilError(t, err)
+				body, err := io.ReadAll(a.Body)
+				assert.NilError(t, err, n)
+				v := h.seen()[len(h.seen())-1]
+				assert.Assert(t, v.err == nil && bytes.Equal(v.body, content(n)), "%d bytes sent, %d came, %v", n, len(v.body), v.err)
+				assert.Assert(t, a.StatusCode == 200 && bytes.Equal(body, content(n)), "%d: %d bytes came back", n, len(body))
+				assert.Assert(t, !a.Close)
+			}
+			time.Sleep(10 * time.Millisecond)
+			assert.Equal(t, h.ended, 0)
+		})
+	})
+}
+
+// counted counts what is written through it.
+type counted struct {
+	net.Conn
+	mu sync.Mutex
+	n  int
+}
+
+func (c *counted) Write(b []byte) (all int, err error) {
+	for len(b) > 0 {
+		n, err := c.Conn.Write(b[:min(len(b), 1024)])
+		c.mu.Lock()
+		c.n += n
+		c.mu.Unlock()
+		if all, b = all+n, b[n:]; err != nil {
+			return all, err
+		}
+	}
+	return all, nil
+}
+
+func (c *counted) written() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+// Of what one side does not take the other can send no more than two sockets' and the gate's windows, and a side that
+// takes nothing holds nobody for ever.
+func TestBodiesWait(t *testing.T) {
+	const sockets, held = 2 * 64 << 10, 4 * bodyWindow
+	framings(t, func(t *testing.T, chunked bool) {
+		t.Run("server", func(t *testing.T) {
+			play(t, false, func(r *rig) {
+				stuck := make(chan bool)
+				h := r.open(func(net.Conn, *http.Request) bool { <-stuck; return true }, nil)
+				c := &counted{Conn: r.dial()}
+				defer c.Close()
+				go func() { _, _ = c.Write(upload("/act/", content(many), chunked)) }()
+				time.Sleep(time.Second)
+				assert.Assert(t, c.written() > sockets && c.written() < sockets+held, "%d", c.written())
+				began := time.Now()
+				close(stuck)
+				assert.Equal(t, r.answer(c).body, "yes")
+				assert.Assert(t, time.Since(began) < 900*time.Millisecond)
+				assert.Equal(t, len(h.seen()[0].body), many)
+			})
+		})
+		t.Run("client", func(t *testing.T) {
+			play(t, false, func(r *rig) {
+				var out *counted
+				var let error // how the server's sending ended
+				h := r.open(nil, func(c net.Conn, q *http.Request) bool {
+					out = &counted{Conn: c}
+					_, err := out.Write(told(q, "200 OK", content(many), chunked))
+					let = err
+					return err == nil
+				})
+				c := r.send([]byte(wired("/get/", patient)))
+				defer c.Close()
+				time.Sleep(time.Second)
+				assert.Assert(t, out.written() > sockets && out.written() < sockets+held, "%d", out.written())
+				time.Sleep(2 * time.Second) // its time is over: the server is let go
+				assert.Assert(t, h.complete() == 1 && let != nil)
+				n, err := read(c)
+				assert.Assert(t, err != nil && n < many, "%d bytes: %v", n, err)
+			})
+		})
+	})
+}
+
+// read reads an answer's body; it fails where that is not complete.
+func read(c net.Conn) (int, error) {
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	n, err := io.Copy(io.Discard, a.Body)
+	return int(n), err
+}
--- a/internal/node/tuning.go
+++ b/internal/node/tuning.go
@@ -14,6 +14,7 @@
 	FirstRequest time.Duration // from a client's connect to the end of its first request
 	WholeRequest time.Duration // from a later request's first byte to its last
 	ClientIdle   time.Duration // between requests
+	BodyStall    time.Duration // for the next bytes of a body that is passed on as it comes
 	ClientWrite  time.Duration // for a client to take an answer
 	EndUnused    bool          // connections that clients leave unused are ended when room is short
 	Rest         time.Duration // an idle connection to an app server rests so long before it is used again
@@ -28,7 +29,7 @@
 
 // DefaultTuning is what holds without an operator file.
 func DefaultTuning() Tuning {
-	return Tuning{FirstRequest: firstRequest, WholeRequest: wholeRequest, ClientIdle: clientIdle, ClientWrite: writeTimeout,
+	return Tuning{FirstRequest: firstRequest, WholeRequest: wholeRequest, ClientIdle: clientIdle, BodyStall: wholeRequest, ClientWrite: writeTimeout,
 		EndUnused: true, Rest: restFor, Stall: answerStall}
 }
 
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"os"
 	"slices"
@@ -80,6 +81,7 @@
 
 	mu        sync.Mutex
 	cancelled bool
+	pinned    bool // it has no other after it: what it was made of, or what came of it, has been passed on
 	conn      *upConn
 	stopDial  context.CancelFunc
 }
@@ -97,6 +99,24 @@
 	}
 }
 
+// recall is cancel for the sake of another attempt.
+func (a *attempt) recall() {
+	a.mu.Lock()
+	pinned := a.pinned
+	a.mu.Unlock()
+	if !pinned {
+		a.cancel()
+	}
+}
+
+// pin rules another attempt out; it is false when this one was cancelled.
+func (a *attempt) pin() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pinned = true
+	return !a.cancelled
+}
+
 // hold puts the attempt on a connection; it is false when it was cancelled.
 func (a *attempt) hold(c *upConn) bool {
 	a.mu.Lock()
@@ -113,6 +133,13 @@
 	contentType string // of a served answer
 	body        string
 	answer      []byte // on a system's wire: the app server's own, as it is passed on
+
+	// On a system's wire, of bodies beyond their window.
+	fault   error         // of the client's, in the middle of its body: nothing has run
+	spent   bool          // part of the request is held no more: it can't be sent again
+	begun   bool          // the answer was passed on as it came
+	whole   bool          // and has come to its end
+	latency time.Duration // without the time that the client took; 0: as the module counts
 }
 
 // do carries an attempt out. The connection of one that did not come to its end
@@ -131,7 +158,7 @@
 		c = &upConn{Conn: conn, up: u}
 		c.in.src = c
 		if u.estate {
-			c.in.most = estateBody
+			c.in.most, c.in.window = math.MaxInt, bodyWindow
 		}
 	}
 	now := u.clock.now()
@@ -202,7 +229,7 @@
 	var r result
 	status, body, framed := 0, []byte(nil), false
 	if err == nil {
-		status, body, framed, err = c.answer(string(req.method) == "HEAD")
+		status, body, framed, err = c.answer(string(req.method) == "HEAD", false)
 	}
 	if err != nil {
 		if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
@@ -229,8 +256,9 @@
 
 // answer reads an answer. One that only the end of the connection would end is
 // not framed, and its body is left unread. One to HEAD has none, whatever its
-// length says (RFC 9112, 6.3).
-func (c *upConn) answer(bare bool) (status int, body []byte, framed bool, err error) {
+// length says (RFC 9112, 6.3). One that only announces the answer is told where
+// some of the request is still to be sent.
+func (c *upConn) answer(bare, unsent bool) (status int, body []byte, framed bool, err error) {
 	for range mostInterim + 1 {
 		if err = c.in.readHead(&c.head, answerStart); err != nil {
 			return 0, nil, false, err
@@ -242,6 +270,8 @@
 			return 0, nil, false, errSyntax
 		case status == 101 || status < 200 && c.head.length != -2:
 			return 0, nil, false, errFraming
+		case status < 200 && unsent:
+			return status, nil, true, nil
 		case status < 200:
 			c.in.begin() // it only announces the answer, which may take its time
 			continue
