--- a/internal/node/passing.go
+++ b/internal/node/passing.go
@@ -215,7 +215,7 @@
 		return on
 	}
 	s.become(cc, connLinger)
-	s.passOver(cc, lingerBody)
+	s.passOver(cc)
 	return false
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -27,7 +27,7 @@
 
 	lingerFor  = 500 * time.Millisecond // a client that still sends is given so long to read why not
 	lingerMost = 256 << 10              // bytes
-	lingerBody = 16 << 20               // of a body whose beginning was read
+	lingerBody = 16 << 20               // where bodies may be long
 )
 
 // server is the clients' side: it reads their requests, hands them to the
@@ -363,12 +363,16 @@
 func (s *server) turnAway(cc *clientConn, status int, fields, why string) {
 	s.become(cc, connLinger)
 	if s.answer(cc, status, fields+"Connection: close\r\n", why) == nil {
-		s.passOver(cc, lingerMost)
+		s.passOver(cc)
 	}
 }
 
 // passOver ends the sending and lets go of what the client still sends.
-func (s *server) passOver(cc *clientConn, most int64) {
+func (s *server) passOver(cc *clientConn) {
+	most := int64(lingerMost)
+	if s.estate != nil {
+		most = lingerBody
+	}
 	if half, ok := cc.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
