--- a/internal/orchard/answer.go
+++ b/internal/orchard/answer.go
@@ -65,7 +65,7 @@
 	load := fmt.Sprintf("%d,%d,%d", s.running, len(s.waiting), s.spec.Capacity)
 	previous := s.previous
 	s.mu.Unlock()
-	body := fmt.Sprintf("%s says %s %s", s.ID, v.id, strings.Repeat("x", s.o.pick(300)))
+	body := fmt.Sprintf("%s says %s %s", s.ID, v.id, strings.Repeat("x", s.o.pick(300))) + s.o.long()
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d Answer\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nServer-Load: %s\r\n", status, v.id, seal, load)
 	if f == last {
--- a/internal/orchard/client.go
+++ b/internal/orchard/client.go
@@ -131,6 +131,9 @@
 	if r.Kind == "mutating" || c.o.chance() < 0.1 {
 		x.method, x.body = "POST", fmt.Sprintf("body %d of %s", c.o.pick(1_000_000), r.Name)
 	}
+	if more := c.o.long(); more != "" {
+		x.method, x.body = "POST", x.body+more
+	}
 	if len(word.Tenants) > 0 {
 		t := weighed(word.Tenants, c.o.chance(), func(t Tenant) float64 { return t.Weight })
 		x.key = t.Keys[c.o.pick(len(t.Keys))]
--- a/internal/orchard/layout.go
+++ b/internal/orchard/layout.go
@@ -39,6 +39,21 @@
 	Rate     float64           // requests a second of all clients
 	Bounds   map[string]string // lines of the settings file in place of the usual ones
 	Spoil    float64           // share of the servers' answers that are spoilt
+	Long     int               // most bytes of the long bodies among requests and answers; 0: none is long
+}
+
+const longShare = 0.2 // of all bodies
+
+// long is more for a body, now and then.
+func (o *Orchard) long() string {
+	if o.layout.Long == 0 || o.chance() >= longShare {
+		return ""
+	}
+	var b strings.Builder
+	for n := o.pick(o.layout.Long); b.Len() < n; {
+		fmt.Fprintf(&b, " %x", b.Len())
+	}
+	return b.String()
 }
 
 // Ports of every machine.
--- a/internal/orchard/leave_test.go
+++ b/internal/orchard/leave_test.go
@@ -29,6 +29,26 @@
 	})
 }
 
+// So they are with long bodies under way, both ways.
+func TestGatesLeaveWithLongBodies(t *testing.T) {
+	t.Parallel()
+	l := usual()
+	l.Rate, l.Long = 50, 250_000
+	for i := range l.Routes {
+		l.Routes[i].Timeout *= 2 // far ones take some round trips
+	}
+	Play(t, l, func(o *House) {
+		o.Pass(contact)
+		began := time.Now()
+		for i := range 5 {
+			o.Terminate(o.Edge(i))
+			o.Start(o.Edge(i))
+			o.Pass(time.Second)
+		}
+		o.Served(began, 0.99)
+	})
+}
+
 // So is every barn, while orders come.
 func TestBarnsLeaveInOrder(t *testing.T) {
 	t.Parallel()
