Test that long answers are not called back, and measure what short bodies cost

Need: the module calls repeatable requests back from a server that seems silent, which would cut an answer under way.

--- /dev/null
+++ b/internal/node/bench_test.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/grove"
+	"pepperfall.example/pepperfall/internal/plot"
+	"pepperfall.example/pepperfall/internal/world"
+)
+
+// tallied is the machine's network, on which calls are counted.
+type tallied struct {
+	world.Real
+	writes, reads atomic.Int64
+}
+
+type talliedConn struct {
+	*net.TCPConn
+	of *tallied
+}
+
+func (c talliedConn) Write(b []byte) (int, error) {
+	c.of.writes.Add(1)
+	return c.TCPConn.Write(b)
+}
+
+func (c talliedConn) Read(b []byte) (int, error) {
+	c.of.reads.Add(1)
+	return c.TCPConn.Read(b)
+}
+
+type talliedListener struct {
+	net.Listener
+	of *tallied
+}
+
+func (l talliedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return talliedConn{c.(*net.TCPConn), l.of}, nil
+}
+
+func (w *tallied) Listen(ctx context.Context, network, address string) (net.Listener, error) {
+	ln, err := w.Real.Listen(ctx, network, address)
+	return talliedListener{ln, w}, err
+}
+
+func (w *tallied) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := w.Real.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return talliedConn{c.(*net.TCPConn), w}, nil
+}
+
+// What a request with a short body costs at a gate, client and server included.
+func BenchmarkShortBody(b *testing.B) {
+	for _, n := range []int{4, 1000, 6000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchBody(b, n) })
+	}
+}
+
+func benchBody(b *testing.B, n int) {
+	w := &tallied{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer ln.Close()
+	body := bytes.Repeat([]byte("x"), n)
+	answer := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nAttempt-Id: one\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", n, body)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf, got := make([]byte, 64<<10), 0
+				for {
+					k, err := c.Read(buf[got:])
+					if got += k; err != nil {
+						return
+					}
+					if i := bytes.Index(buf[:got], []byte("\r\n\r\n")); i >= 0 && got-i-4 == n {
+						if got = 0; write(c, answer) != nil {
+							return
+						}
+					}
+				}
+			}()
+		}
+	}()
+	e, err := NewEstate(EstateConfig{Listen: "127.0.0.1:0", Peer: "127.0.0.1:0", Zone: "a", Region: "r", Seed: 1, Sockets: 100,
+		World: w, Regions: map[string]string{"a": "r"}, Grace: time.Second, RetryRatio: 1, RetrySlack: 100})
+	assert.NilError(b, err)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	defer func() {
+		stop()
+		assert.Check(b, <-ended)
+	}()
+	p, err := plot.Parse([]byte(estatePlot))
+	assert.NilError(b, err)
+	e.Plot(p)
+	e.Servers(1, []grove.Listed{{ID: "i-0", Service: "x", Address: ln.Addr().String(), Zone: "a", Slots: 9}})
+	e.Peers(0, 1, []netip.AddrPort{{}}, nil)
+	c, err := net.Dial("tcp", e.Addr().String())
+	assert.NilError(b, err)
+	defer c.Close()
+	ask := fmt.Appendf(nil, "POST /act/ HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: one\r\nX-Api-Key: k1\r\nContent-Length: %d\r\n\r\n%s", n, body)
+	head := make([]byte, len(answer))
+	once := func() {
+		if err = write(c, ask); err == nil {
+			_, err = io.ReadFull(c, head)
+		}
+		if err != nil || !bytes.HasPrefix(head, []byte("HTTP/1.1 200")) {
+			b.Fatal(err, string(head[:20]))
+		}
+	}
+	for range 50 {
+		once()
+	}
+	writes, reads := w.writes.Load(), w.reads.Load()
+	b.ReportAllocs()
+	for b.Loop() {
+		once()
+	}
+	b.ReportMetric(float64(w.writes.Load()-writes)/float64(b.N), "writes/op")
+	b.ReportMetric(float64(w.reads.Load()-reads)/float64(b.N), "reads/op")
+}
+
+func write(c net.Conn, b []byte) error {
+	_, err := c.Write(b)
+	return err
+}
--- a/internal/node/broken_test.go
+++ b/internal/node/broken_test.go
@@ -266,3 +266,40 @@
 		}
 	})
 }
+
+// An answer that is on its way to its client is not called back for another, however long it takes, and its server is
+// not held for one that is silent; nor is a request that can't be sent again.
+func TestLongOnesAreNotCalledBack(t *testing.T) {
+	play(t, false, func(r *rig) {
+		slow := func(c net.Conn, b []byte) bool {
+			for ; len(b) > 0; b = b[min(len(b), 25_000):] {
+				if _, err := c.Write(b[:min(len(b), 25_000)]); err != nil {
+					return false
+				}
+				time.Sleep(110 * time.Millisecond)
+			}
+			return true
+		}
+		h := r.open(nil, func(c net.Conn, q *http.Request) bool {
+			b := told(q, "200 OK", content(3), true)
+			if q.URL.RawQuery == "long" {
+				return slow(c, told(q, "200 OK", content(large), false))
+			}
+			_, err := c.Write(b)
+			return err == nil
+		})
+		for range 40 {
+			assert.Equal(t, r.ask("/get/", "").StatusCode, 200)
+		}
+		c := r.send([]byte(wired("/get/?long", patient)))
+		defer c.Close()
+		n, err := read(c)
+		assert.Assert(t, err == nil && n == large, "%d bytes, %v", n, err)
+		c = r.dial()
+		defer c.Close()
+		go slow(c, bytes.Replace(upload("/get/", content(large), false), []byte("GET"), []byte("PUT"), 1))
+		n, err = read(c)
+		assert.Assert(t, err == nil && n == 3, "%d bytes, %v", n, err)
+		assert.Equal(t, h.complete(), 42)
+	})
+}
--- a/internal/node/streams_test.go
+++ b/internal/node/streams_test.go
@@ -186,8 +186,15 @@
 			defer c.Close()
 			in := bufio.NewReader(c)
 			for _, n := range []int{0, 1, bodyWindow - 1, bodyWindow, bodyWindow + 1, 2 * bodyWindow, 5*10007 + 1, 3<<20 + 5} {
-				b := bytes.Replace(upload("/act/", content(n), chunked), []byte("Deadline-Ms"), fmt.Appendf(nil, "X-Want: %d\r\nDeadline-Ms", n), 1)
-				go func() { _, _ = c.Write(b) }()
+				b := bytes.Replace(upload("/act/", content(n), chunked), []byte("Deadline-Ms"), fmt.Appendf(nil, "X-Want: %d\r\nExpect: 100-continue\r\nDeadline-Ms", n), 1)
+				head := bytes.Index(b, []byte("\r\n\r\n")) + 4
+				_, err := c.Write(b[:head])
+				assert.NilError(t, err)
+				if head < len(b) {
+					a, err := http.ReadResponse(in, nil)
+					assert.Assert(t, err == nil && a.StatusCode == 100, "%v", err)
+				}
+				go func() { _, _ = c.Write(b[head:]) }()
 				a, err := http.ReadResponse(in, nil)
 				assert.NilError(t, err)
 				body, err := io.ReadAll(a.Body)
