Decide in a pure module who does a duty that one node does

Need: the platform's list is called by rendezvous rank alone; its holder names no successor and no majority does, which the house style asks for. Ranks also wait 1.2 s for a dead holder's connection to be given up.

Change: internal/steward. A term has an epoch (a vote of a majority) and a step (how often since then a holder was followed by the successor that it had named). A holder names one successor for all of its term, so a sudden death needs no vote; another successor needs a vote, which the holder asks for while it goes on. Who is behind is told, and an older term's word is passed over. Who holds nothing does the work without a claim where it hears of no turn, slowly, one after the other by rank.

Votes are not on disk. An epoch is the time of day in milliseconds where that is higher than the next number, so a voter that came back may vote again, but for another number; only with a clock that is ahead can two hold one term. It costs calls until they hear of each other; then the higher name holds.

Seen on the way: candidates that asked at the same moment could ask against each other for ever; now the first in rank asks more often, and all words tell the highest vote.

Eight planted faults are found: two votes in an epoch, one vote a majority, a returned successor held for the old one, an older word followed, another successor named without a vote, no new term for a successor, nobody votes, nobody works without a claim.

--- /dev/null
+++ b/internal/furrow/duty.go
@@ -0,0 +1,28 @@
+package furrow
+
+// Seat is one life of a barn.
+type Seat struct {
+	Name string
+	Life int64 // as in its Hello
+}
+
+// Term numbers who has held a duty. The higher Epoch holds, among equal ones the higher Step. The zero one stands for
+// nobody.
+type Term struct {
+	Epoch uint64 // one vote of a majority
+	Step  uint64 // how often since then a holder was followed by the successor that it had named
+}
+
+// Above tells whether t holds in place of o.
+func (t Term) Above(o Term) bool { return t.Epoch > o.Epoch || t.Epoch == o.Epoch && t.Step > o.Step }
+
+// Duty is a barn's word on a duty that one of them does.
+type Duty struct {
+	Term   Term   // the highest that the sender knows
+	Holder Seat   // of that term; whoever tells of itself is alive by that
+	Next   Seat   // may follow the holder without a vote; zero: nobody
+	Yields bool   // the holder gives the duty up: the next one is to follow it now
+	Ask    uint64 // an epoch for which the sender wants a vote; 0: none
+	Vote   uint64 // an epoch for which the sender votes for whom it tells this; 0: none
+	Voted  uint64 // the highest epoch that the sender ever voted for, or heard of such a vote
+}
--- /dev/null
+++ b/internal/steward/due.go
@@ -0,0 +1,42 @@
+package steward
+
+import (
+	"time"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+)
+
+// Times of a work that is done again and again.
+const (
+	Slowly  = time.Second            // between two turns of one who claims nothing, at least
+	overdue = 700 * time.Millisecond // beyond a period, until others do it without a claim
+)
+
+// Work is when a barn did, and heard of, a turn of the work.
+type Work struct {
+	Period time.Duration // between two turns of the holder
+	Asked  time.Duration // when this barn's last turn began
+	Heard  time.Duration // when any barn's last turn was known of; 0: none was
+	Others time.Duration // the same, of another barn's
+}
+
+// Due is when this barn does the next turn. Whoever does not hold the duty does it only where nobody else is heard to,
+// slowly and one after the other by rank.
+func (s *Steward) Due(v View, w Work) time.Duration {
+	if s.left {
+		return never
+	}
+	if s.Holds() {
+		at := w.Asked + w.Period
+		if w.Others > 0 {
+			at = max(at, w.Others+w.Period)
+		}
+		return at
+	}
+	turn := time.Duration(s.Rank(v)) * Stagger
+	at := w.Asked + max(w.Period, Slowly)
+	if w.Heard == 0 && s.known.Term == (furrow.Term{}) {
+		return max(at, turn) // the first start
+	}
+	return max(at, w.Heard+w.Period+overdue+turn)
+}
--- /dev/null
+++ b/internal/steward/planted_test.go
@@ -0,0 +1,62 @@
+package steward
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+)
+
+// planted is a fault: it changes what a barn sees, what it is told, or its state and words after a step.
+type planted struct {
+	oneLife bool // whoever comes back is held for whom it was
+	claimed bool // nobody does the work without a claim
+	view    func(v *View)
+	before  func(s *Steward, d *furrow.Duty)
+	after   func(s *Steward, v View, out []Tell) []Tell
+}
+
+// Each fault breaks what the explorer looks at. Without them it finds nothing (TestLongOrders).
+func TestPlantedFaults(t *testing.T) {
+	rename := func(s *Steward, out []Tell, change func(d *furrow.Duty)) []Tell {
+		if s.Holds() {
+			change(&s.known)
+			for i := range out {
+				change(&out[i].Duty)
+			}
+		}
+		return out
+	}
+	for what, p := range map[string]*planted{
+		"a voter votes twice in an epoch": {before: func(s *Steward, d *furrow.Duty) {
+			if d.Ask > 0 {
+				s.voted = 0
+			}
+		}},
+		"one vote is a majority":             {view: func(v *View) { v.Electors = 1 }},
+		"who comes back is still next":       {oneLife: true},
+		"an older holder's word is followed": {before: func(s *Steward, d *furrow.Duty) { s.known.Term = furrow.Term{} }},
+		"a holder names another without a vote": {after: func(s *Steward, v View, out []Tell) []Tell {
+			return rename(s, out, func(d *furrow.Duty) { d.Next = s.pick(v) })
+		}},
+		"a successor goes on in its predecessor's term": {after: func(s *Steward, _ View, out []Tell) []Tell {
+			return rename(s, out, func(d *furrow.Duty) { d.Term.Step = 0 })
+		}},
+		"only the holder does the work": {claimed: true},
+		"nobody votes": {after: func(_ *Steward, _ View, out []Tell) []Tell {
+			return slices.DeleteFunc(out, func(t Tell) bool { return t.Duty.Vote > 0 })
+		}},
+	} {
+		t.Run(what, func(t *testing.T) {
+			for seed := range uint64(300) {
+				if m := walk(seed, p); m.fault != "" {
+					t.Logf("order %d: %s", seed, m.fault)
+					return
+				}
+			}
+			assert.Assert(t, false, "not found")
+		})
+	}
+}
--- /dev/null
+++ b/internal/steward/steward.go
@@ -0,0 +1,317 @@
+package steward
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+)
+
+// Times of a duty.
+const (
+	Beat     = 600 * time.Millisecond // between two words of a holder at most
+	Silence  = 900 * time.Millisecond // without a word a holder is taken for lost
+	Unlinked = 500 * time.Millisecond // and one that is not connected either
+	Stagger  = 300 * time.Millisecond // between the attempts of one and the next in rank
+	askEvery = 400 * time.Millisecond
+	nameless = time.Second // a successor that is gone for so long is replaced by another
+	never    = time.Duration(1) << 62
+)
+
+// Peer is another barn that is connected and does not leave.
+type Peer struct {
+	furrow.Seat
+	Zone    string
+	Elector bool // its vote counts
+}
+
+// View is what a barn knows at a moment.
+type View struct {
+	Now      time.Duration // of its steady clock
+	UnixMS   uint64        // its time of day
+	Peers    []Peer
+	Elector  bool // its own vote counts
+	Electors int  // how many there are, those out of reach included
+}
+
+// Tell is a word that is to be told.
+type Tell struct {
+	To   string // empty: to all peers
+	Duty furrow.Duty
+}
+
+// Steward is one barn's part in a duty. It is not safe for use by several goroutines.
+type Steward struct {
+	duty string
+	self furrow.Seat
+	zone string
+
+	known   furrow.Duty   // the highest term, its holder and the next one
+	heard   time.Duration // when the holder last spoke, or was first told of
+	told    time.Duration // of a holder: when it last spoke
+	named   time.Duration // of a holder: when its successor was last connected
+	left    bool
+	voted   uint64 // the highest epoch that this barn voted for, in this life
+	seen    uint64 // the highest that anybody did, as far as was heard
+	asking  uint64 // the epoch that it wants; 0: none
+	askedAt time.Duration
+	asked   bool
+	votes   map[string]bool
+}
+
+// New makes a barn's part in a duty.
+func New(duty string, self furrow.Seat, zone string) *Steward {
+	return &Steward{duty: duty, self: self, zone: zone}
+}
+
+// Holds tells whether this barn has the duty.
+func (s *Steward) Holds() bool { return !s.left && s.known.Holder == s.self }
+
+// Known is the term that holds as far as this barn knows, with its holder and the next one.
+func (s *Steward) Known() furrow.Duty { return s.known }
+
+// Takes tells whether a word given in a term is to be heeded. The zero term claims nothing, so it is.
+func (s *Steward) Takes(t furrow.Term) bool { return t == furrow.Term{} || !s.known.Term.Above(t) }
+
+// Greet is what a barn that has just been connected is told.
+func (s *Steward) Greet() furrow.Duty { return s.word() }
+
+func (s *Steward) word() furrow.Duty {
+	d := s.known
+	d.Voted = max(s.seen, s.voted)
+	return d
+}
+
+// Spoke notes that the holder has told its word to all.
+func (s *Steward) Spoke(now time.Duration) { s.told = now }
+
+// Rank is this barn's among all that are connected.
+func (s *Steward) Rank(v View) int { return s.rank(v, func(Peer) bool { return true }) }
+
+func (s *Steward) rank(v View, counts func(Peer) bool) int {
+	var names []string
+	for _, p := range v.Peers {
+		if counts(p) {
+			names = append(names, p.Name)
+		}
+	}
+	return Rank(s.duty, s.self.Name, names)
+}
+
+func (s *Steward) turn(v View) time.Duration {
+	return time.Duration(s.rank(v, func(p Peer) bool { return p.Elector })) * Stagger
+}
+
+// majority tells whether enough electors are connected for a vote.
+func (s *Steward) majority(v View) bool {
+	n := 0
+	for _, p := range v.Peers {
+		if p.Elector {
+			n++
+		}
+	}
+	if v.Elector {
+		n++
+	}
+	return enough(n, v.Electors)
+}
+
+func enough(n, of int) bool { return n >= of/2+1 }
+
+func connected(v View, who furrow.Seat) bool {
+	return slices.ContainsFunc(v.Peers, func(p Peer) bool { return p.Seat == who })
+}
+
+// follows is when this barn, the next one, takes the duty over.
+func (s *Steward) follows(v View) time.Duration {
+	if !connected(v, s.known.Holder) {
+		return s.heard + Unlinked
+	}
+	return s.heard + Silence
+}
+
+// wants is when this barn asks for a vote; never: it has no reason to.
+func (s *Steward) wants(v View) time.Duration {
+	if !v.Elector || !s.majority(v) {
+		return never
+	}
+	at := s.heard + Silence + Stagger + s.turn(v) // the next one has its chance first
+	switch {
+	case s.Holds():
+		if at = s.named + nameless; s.pick(v) == (furrow.Seat{}) {
+			return never
+		}
+	case s.known.Term == furrow.Term{}:
+		at = s.turn(v)
+	}
+	if s.asked {
+		at = max(at, s.askedAt+askEvery+s.turn(v)) // of those who ask against each other the first in rank does so more often
+	}
+	return at
+}
+
+// Wake is when Step has something to do, if nothing is heard before.
+func (s *Steward) Wake(v View) time.Duration {
+	switch {
+	case s.left:
+		return never
+	case s.Holds():
+		if connected(v, s.known.Next) {
+			return s.told + Beat
+		}
+		return min(s.told+Beat, s.wants(v))
+	case s.known.Next == s.self:
+		return min(s.follows(v), s.wants(v))
+	}
+	return s.wants(v)
+}
+
+// Step does what is due.
+func (s *Steward) Step(v View) (out []Tell) {
+	if s.left {
+		return nil
+	}
+	if s.Holds() && connected(v, s.known.Next) {
+		s.named = v.Now
+	}
+	if !s.Holds() && s.known.Next == s.self && v.Now >= s.follows(v) {
+		out = append(out, s.follow(v))
+	}
+	if v.Now >= s.wants(v) {
+		out = append(out, s.ask(v)...)
+	}
+	if s.Holds() && v.Now >= s.told+Beat {
+		s.told = v.Now
+		out = append(out, Tell{Duty: s.word()})
+	}
+	return out
+}
+
+// follow takes over as the successor that was named.
+func (s *Steward) follow(v View) Tell {
+	t := s.known.Term
+	t.Step++
+	return s.take(v, t)
+}
+
+// take begins a term, and names its successor, once for all of it.
+func (s *Steward) take(v View, t furrow.Term) Tell {
+	s.known = furrow.Duty{Term: t, Holder: s.self, Next: s.pick(v)}
+	s.heard, s.told, s.named, s.asking = v.Now, v.Now, v.Now, 0
+	return Tell{Duty: s.word()}
+}
+
+// pick is who is to follow this barn: an elector, of another zone where there is one.
+func (s *Steward) pick(v View) furrow.Seat {
+	var fit []Peer
+	for _, p := range v.Peers {
+		if p.Elector {
+			fit = append(fit, p)
+		}
+	}
+	if len(fit) == 0 {
+		return furrow.Seat{}
+	}
+	near := func(p Peer) int {
+		if p.Zone == s.zone {
+			return 1
+		}
+		return 0
+	}
+	return slices.MinFunc(fit, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(near(a), near(b)), cmp.Compare(weight(s.duty, b.Name), weight(s.duty, a.Name)), cmp.Compare(a.Name, b.Name))
+	}).Seat
+}
+
+// ask wants the votes of all. An epoch is the time of day where that is higher than the next number: votes are not on
+// disk, and one who has come back may vote again, but not for the number of a moment before.
+func (s *Steward) ask(v View) []Tell {
+	s.asked, s.askedAt = true, v.Now
+	s.asking = max(max(s.known.Term.Epoch, s.voted, s.seen)+1, v.UnixMS)
+	s.voted, s.votes = s.asking, map[string]bool{s.self.Name: true}
+	word := s.word()
+	word.Ask = s.asking
+	out := []Tell{{Duty: word}}
+	if enough(len(s.votes), v.Electors) {
+		out = append(out, s.take(v, furrow.Term{Epoch: s.asking}))
+	}
+	return out
+}
+
+// Hear takes in another barn's word.
+func (s *Steward) Hear(v View, from furrow.Seat, d furrow.Duty) (out []Tell) {
+	if s.left {
+		return nil
+	}
+	own := d.Holder == from
+	s.seen = max(s.seen, d.Voted, d.Ask)
+	switch {
+	case s.over(d):
+		s.known = furrow.Duty{Term: d.Term, Holder: d.Holder, Next: d.Next}
+		s.heard = v.Now
+		if s.asking <= d.Term.Epoch {
+			s.asking = 0
+		}
+	case d.Term == s.known.Term && d.Holder == s.known.Holder:
+		if own {
+			s.heard = v.Now
+		}
+	case own || d.Ask > 0:
+		out = append(out, Tell{To: from.Name, Duty: s.word()}) // it is behind
+	}
+	if own && d.Yields && d.Term == s.known.Term && s.known.Next == s.self {
+		out = append(out, s.follow(v))
+	}
+	if s.grants(v, from, d) {
+		s.voted = d.Ask
+		word := s.word()
+		word.Vote = d.Ask
+		out = append(out, Tell{To: from.Name, Duty: word})
+	} else if d.Ask > 0 && len(out) == 0 {
+		out = append(out, Tell{To: from.Name, Duty: s.word()}) // it learns what is higher
+	}
+	if d.Vote > 0 && d.Vote == s.asking && s.asking > s.known.Term.Epoch && s.elector(v, from) {
+		s.votes[from.Name] = true
+		if enough(len(s.votes), v.Electors) {
+			out = append(out, s.take(v, furrow.Term{Epoch: s.asking}))
+		}
+	}
+	return out
+}
+
+// over tells whether a word tells of more than is known. Two holders of one term there are only where a voter came
+// back, and voted again, in the same millisecond; or while a clock is ahead. Then all agree on one by name.
+func (s *Steward) over(d furrow.Duty) bool {
+	return d.Term.Above(s.known.Term) || d.Term == s.known.Term && d.Holder.Name > s.known.Holder.Name
+}
+
+func (s *Steward) elector(v View, who furrow.Seat) bool {
+	return slices.ContainsFunc(v.Peers, func(p Peer) bool { return p.Seat == who && p.Elector })
+}
+
+// grants tells whether to vote for one who asks: once in an epoch, and, but for the holder itself, only where the
+// holder is silent here too.
+func (s *Steward) grants(v View, from furrow.Seat, d furrow.Duty) bool {
+	if d.Ask <= s.voted || d.Ask <= s.known.Term.Epoch || !v.Elector || s.Holds() {
+		return false
+	}
+	return from == s.known.Holder || s.known.Term == furrow.Term{} || v.Now >= s.heard+Unlinked && !connected(v, s.known.Holder) || v.Now >= s.heard+Silence
+}
+
+// Yield tells the next one to take over now; nothing where there is no next one. Until it has, this barn holds on.
+func (s *Steward) Yield() []Tell {
+	if !s.Holds() || s.known.Next == (furrow.Seat{}) {
+		return nil
+	}
+	word := s.word()
+	word.Yields = true
+	return []Tell{{Duty: word}}
+}
+
+// Leave gives the duty up for good: this barn ends.
+func (s *Steward) Leave() []Tell {
+	out := s.Yield()
+	s.left = true
+	return out
+}
