Let the list's holder name its successor, and a majority make one where it can't

Cause: whoever read the platform's list was found by rank among open connections: a holder without power was replaced only once its connection was given up (1.2 s), and one that left told nobody who follows.

Change: internal/barn does the duty as internal/steward decides. Words on it go down the barns' connections (furrow.Duty, with each reading, so no frame more in calm); a reading carries its term and is passed over where a newer holder is known. A holder that leaves yields, its successor follows at once; one that can't read while another can does so too. The ranks are left for those who hear of no reading: they read without a claim, once a second at most, one after the other.

--- a/internal/barn/barn.go
+++ b/internal/barn/barn.go
@@ -13,6 +13,7 @@
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/granary"
 	"pepperfall.example/pepperfall/internal/plot"
+	"pepperfall.example/pepperfall/internal/steward"
 	"pepperfall.example/pepperfall/internal/world"
 )
 
@@ -28,6 +29,7 @@
 	cloud *http.Client
 	kick  chan struct{} // a round of heads is wanted now
 	stir  chan struct{} // the census has changed
+	spur  chan struct{} // the duty may have changed
 	jobs  sync.WaitGroup
 	ctx   context.Context // of all that runs
 
@@ -58,8 +60,12 @@
 	list    *furrow.Servers // the newest that is known
 	stamp   int64           // of the newest reading, which may have told the same
 	heard   time.Duration   // when that was heard
+	others  time.Duration   // when one of another barn's was
 	drained map[string]bool // lives that were seen draining
 
+	steward *steward.Steward // of the list's duty
+	reads   reading
+
 	ops ops // what operators ask beyond the platform's calls
 }
 
@@ -72,7 +78,7 @@
 
 // New makes a barn; disk is nil where it has none.
 func New(set *deed.Settings, w world.World, disk world.Disk, log logr.Logger) *Barn {
-	b := &Barn{w: w, log: log, set: set, start: w.Now(), kick: make(chan struct{}, 1), stir: make(chan struct{}, 1),
+	b := &Barn{w: w, log: log, set: set, start: w.Now(), kick: make(chan struct{}, 1), stir: make(chan struct{}, 1), spur: make(chan struct{}, 1),
 		barns: map[string]furrow.Hello{}, keeps: map[string]*keep{}, links: map[string][]*link{}, hands: map[*hand]bool{},
 		zones: map[string]furrow.Zone{}, drained: map[string]bool{}}
 	s := set.Self
@@ -92,6 +98,7 @@
 	b.vouches = s.Voter && b.found == granary.Whole
 	b.gates = newRegister(b.store.Census(), 0)
 	b.cloud = newCloud(w)
+	b.steward = steward.New(listDuty, furrow.Seat{Name: s.Name, Life: b.self.Life}, s.Zone)
 	return b
 }
 
@@ -114,7 +121,7 @@
 	b.jobs.Go(func() { _ = furrow.Serve(inner, b.w, ln, b.hello, b.log, b.accept) })
 	b.jobs.Go(func() { b.rounds(inner) })
 	b.jobs.Go(func() { b.watch(inner) })
-	b.jobs.Go(func() { b.lists(inner) })
+	b.jobs.Go(func() { b.duties(inner) })
 	b.SetSeeds(b.set.Network.Seeds)
 	b.mu.Lock()
 	for _, h := range b.barns {
@@ -138,9 +145,13 @@
 	defer b.mu.Unlock()
 	b.leaving = true
 	why := "told to end"
+	var duty *furrow.Duty
+	for _, t := range b.steward.Leave() {
+		duty = &t.Duty
+	}
 	for _, all := range b.links {
 		for _, l := range all {
-			_ = l.conn.Send(&furrow.Frame{Leaving: &why})
+			_ = l.conn.Send(&furrow.Frame{Leaving: &why, Duty: duty})
 		}
 	}
 	for h := range b.hands {
--- a/internal/barn/duty.go
+++ b/internal/barn/duty.go
@@ -1,32 +1,20 @@
 package barn
 
 import (
+	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/steward"
 )
 
-// Rank is a barn's place, from 0, among those alive for a duty: each has a
-// weight drawn from the names, and the highest does it.
-func Rank(duty, self string, alive []string) (rank int) {
-	mine := weight(duty, self)
-	for _, name := range alive {
-		if w := weight(duty, name); name != self && (w > mine || w == mine && name < self) {
-			rank++
-		}
-	}
-	return rank
-}
-
-func weight(duty, name string) uint64 { return xxhash.Sum64String(duty + "\x00" + name) }
-
 // Times of the list's duty.
 const (
 	leastPeriod = 500 * time.Millisecond
 	listWithin  = time.Second // of one call
 	listAgain   = 200 * time.Millisecond
-	listLate    = 700 * time.Millisecond
 	rateShare   = 8 // part of the allowed rate that one caller takes at most
+	mostFailed  = 2 // readings, and another takes over who has had one
 )
 
 // Period is the time between two readings of a list of so many pages.
@@ -37,11 +25,122 @@
 	return max(leastPeriod, time.Duration(float64(max(pages, 1))*rateShare/perS*float64(time.Second)))
 }
 
-// Due is when a barn of a rank reads the list, having begun to read it itself
-// at asked and heard of a reading at heard.
-func Due(rank int, period time.Duration, asked, heard time.Duration) time.Duration {
-	if rank == 0 {
-		return asked + period
+// reading is this barn's part in the reading of the list.
+type reading struct {
+	work   steward.Work
+	again  time.Duration // when one that failed may be repeated
+	failed int           // in a row
+	busy   bool          // one is under way
+}
+
+// duties does this barn's part in what one barn does for all.
+func (b *Barn) duties(ctx context.Context) {
+	if !b.pause(ctx, listAfter) {
+		return
+	}
+	b.mu.Lock()
+	b.reads.work = steward.Work{Period: leastPeriod, Asked: -steward.Slowly}
+	b.mu.Unlock()
+	for ctx.Err() == nil {
+		b.mu.Lock()
+		now, v := b.now(), b.view()
+		b.tellDuty(b.steward.Step(v))
+		next := min(b.steward.Wake(v), now+time.Second)
+		if due := b.due(v); due > now {
+			next = min(next, due)
+		} else if r := &b.reads; !r.busy {
+			r.busy, r.work.Asked = true, now
+			stamp := max(b.w.Now().UnixNano(), b.stamp+1)
+			b.jobs.Go(func() { b.readOnce(ctx, stamp) })
+		}
+		b.mu.Unlock()
+		t := b.w.NewTimer(max(soon, next-now))
+		select {
+		case <-t.C():
+		case <-b.spur:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// due is when this barn reads the list; the mutex is held.
+func (b *Barn) due(v steward.View) time.Duration {
+	if b.set.Provider.Cloud.Address == "" || b.leaving {
+		return v.Now + time.Second
+	}
+	b.reads.work.Heard, b.reads.work.Others = b.heard, b.others
+	return max(b.reads.again, b.steward.Due(v, b.reads.work))
+}
+
+// readOnce reads the list and takes it over.
+func (b *Barn) readOnce(ctx context.Context, stamp int64) {
+	cloud := b.set.Provider.Cloud
+	list, pages, err := b.readList(ctx, cloud.Address)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.spurred()
+	r := &b.reads
+	if r.busy = false; err != nil {
+		b.log.V(1).Info("list not read", "why", err.Error())
+		r.again = b.now() + listAgain
+		if r.failed++; r.failed >= mostFailed && b.others > r.work.Asked-r.work.Period {
+			b.tellDuty(b.steward.Yield()) // another can
+		}
+		return
+	}
+	r.failed, r.again, r.work.Period = 0, 0, Period(pages, cloud.RatePerS)
+	s := &furrow.Servers{Stamp: stamp, By: b.self.Name, List: list}
+	if b.steward.Holds() {
+		s.Term = b.steward.Known().Term
+		b.steward.Spoke(b.now())
+	}
+	b.listed(s)
+}
+
+// view is what this barn knows of the others; the mutex is held.
+func (b *Barn) view() steward.View {
+	names, n := b.voters()
+	none := len(names) == 0 // then all count
+	if none {
+		n = len(b.barns)
+	}
+	v := steward.View{Now: b.now(), UnixMS: uint64(max(0, b.w.Now().UnixMilli())), Elector: none || b.self.Voter, Electors: n}
+	for name, all := range b.links {
+		if l := all[len(all)-1]; !l.leaving {
+			v.Peers = append(v.Peers, steward.Peer{Seat: l.seat(), Zone: l.peer.Zone, Elector: none || names[name]})
+		}
+	}
+	return v
+}
+
+func (l *link) seat() furrow.Seat { return furrow.Seat{Name: l.peer.Name, Life: l.peer.Life} }
+
+// hearDuty takes in another barn's word on the duty; the mutex is held.
+func (b *Barn) hearDuty(l *link, d *furrow.Duty) {
+	was := b.steward.Known()
+	b.tellDuty(b.steward.Hear(b.view(), l.seat(), *d))
+	if is := b.steward.Known(); is.Term != was.Term {
+		b.log.Info("the list's duty", "holder", is.Holder.Name, "next", is.Next.Name, "epoch", is.Term.Epoch, "step", is.Term.Step)
+	}
+	b.spurred()
+}
+
+// tellDuty tells the others what is to be told; the mutex is held.
+func (b *Barn) tellDuty(out []steward.Tell) {
+	for _, t := range out {
+		for name, all := range b.links {
+			if t.To == "" || t.To == name {
+				_ = all[len(all)-1].conn.Send(&furrow.Frame{Duty: &t.Duty})
+			}
+		}
+	}
+}
+
+// spurred has the duty looked at now; the mutex may be held.
+func (b *Barn) spurred() {
+	select {
+	case b.spur <- struct{}{}:
+	default:
 	}
-	return max(asked+period, heard+time.Duration(1+rank)*period+listLate)
 }
--- a/internal/barn/hands_test.go
+++ b/internal/barn/hands_test.go
@@ -258,7 +258,7 @@
 		f.until(time.Second, "drains", states("a true;b false;"))
 		holder := 0
 		for i := 1; i < 4; i++ {
-			if f.runs[i].rankNow() == 0 {
+			if f.runs[i].holdsNow() {
 				holder = i
 			}
 		}
@@ -272,10 +272,10 @@
 	})
 }
 
-func (r *running) rankNow() int {
+func (r *running) holdsNow() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.rank()
+	return r.steward.Holds()
 }
 
 // A hand that was told another text of the same number is told the one that holds.
--- a/internal/barn/list.go
+++ b/internal/barn/list.go
@@ -27,55 +27,6 @@
 	return &http.Client{Transport: &http.Transport{DialContext: world.DialWithin(w, listWithin), DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: 5 * time.Second}}
 }
 
-// lists reads the platform's list whenever that is this barn's duty.
-func (b *Barn) lists(ctx context.Context) {
-	address := b.set.Provider.Cloud.Address
-	if address == "" {
-		return
-	}
-	if !b.pause(ctx, listAfter) {
-		return
-	}
-	period := leastPeriod
-	asked, again := -period, time.Duration(0) // of the last reading, and when a failed one may be repeated
-	for ctx.Err() == nil {
-		b.mu.Lock()
-		rank := b.rank()
-		due := max(again, Due(rank, period, asked, b.heard))
-		b.mu.Unlock()
-		if wait := due - b.now(); wait > 0 {
-			b.pause(ctx, min(wait, time.Second))
-			continue
-		}
-		asked = b.now()
-		b.mu.Lock()
-		stamp := max(b.w.Now().UnixNano(), b.stamp+1)
-		b.mu.Unlock()
-		list, pages, err := b.readList(ctx, address)
-		if err != nil {
-			b.log.V(1).Info("list not read", "why", err.Error())
-			again = b.now() + listAgain
-			asked = again - period
-			continue
-		}
-		again, period = 0, Period(pages, b.set.Provider.Cloud.RatePerS)
-		b.mu.Lock()
-		b.listed(&furrow.Servers{Stamp: stamp, By: b.self.Name, List: list})
-		b.mu.Unlock()
-	}
-}
-
-// rank is this barn's for the list; the mutex is held.
-func (b *Barn) rank() int {
-	var alive []string
-	for name, all := range b.links {
-		if !all[len(all)-1].leaving {
-			alive = append(alive, name)
-		}
-	}
-	return Rank(listDuty, b.self.Name, alive)
-}
-
 // readList reads all pages; half a list is none.
 func (b *Barn) readList(ctx context.Context, address string) (list []furrow.Server, pages int, err error) {
 	for token := ""; ; {
@@ -133,7 +84,9 @@
 		return
 	}
 	b.stamp = s.Stamp
-	b.heard = b.now()
+	if b.heard = b.now(); s.By != b.self.Name {
+		b.others = b.heard
+	}
 	if len(s.List) > 0 {
 		s = b.sober(s)
 		if b.list == nil || s.Since(b.list) != nil {
@@ -144,33 +97,43 @@
 	if s.By != b.self.Name {
 		return
 	}
+	var duty *furrow.Duty
+	if b.steward.Holds() {
+		d := b.steward.Greet()
+		duty = &d
+	}
 	for _, all := range b.links {
-		all[len(all)-1].list(s)
+		all[len(all)-1].list(s, duty)
 	}
 }
 
 // list tells another barn a reading, of which it may know the most.
-func (l *link) list(s *furrow.Servers) {
+func (l *link) list(s *furrow.Servers, d *furrow.Duty) {
 	p := &furrow.Servers{Stamp: s.Stamp, By: s.By, Part: true}
 	if len(s.List) > 0 {
 		if news := s.Since(l.told); news != nil {
-			p = news
+			x := *news
+			p = &x
 		}
 	}
+	p.Term = s.Term
 	if whole := p.Onto(l.told); whole != nil {
 		l.told = whole
 	}
-	l.change(&furrow.Change{Servers: p})
+	l.news(&furrow.Change{Servers: p}, d)
 }
 
-// listTold takes over what another barn tells of the list; the mutex is held.
+// listTold takes over what another barn tells of the list, but for one whose duty another has by now; the mutex is held.
 func (b *Barn) listTold(l *link, s *furrow.Servers) {
+	term := s.Term
 	if whole := s.Onto(l.heard); whole != nil {
 		l.heard, s = whole, whole
 	} else { // nothing of it was told before
 		s = &furrow.Servers{Stamp: s.Stamp, By: s.By}
 	}
-	b.listed(s)
+	if b.steward.Takes(term) {
+		b.listed(s)
+	}
 }
 
 // sober keeps servers that were seen draining as such: no life comes back from it.
--- a/internal/barn/mesh.go
+++ b/internal/barn/mesh.go
@@ -115,12 +115,14 @@
 	b.links[h.Name] = append(b.links[h.Name], l)
 	b.learn(*h)
 	l.told = b.held()
-	l.change(&furrow.Change{Census: b.known(), Servers: l.told})
+	duty := b.steward.Greet()
+	l.news(&furrow.Change{Census: b.known(), Servers: l.told}, &duty)
 	if k := b.keeps[h.Inner]; k != nil && k.stop != nil && b.calledBy(h.Inner) {
 		k.stop()
 	}
 	b.mu.Unlock()
 	b.rouse()
+	b.spurred()
 	b.log.Info("barn connected", "name", h.Name, "dialled", dialled)
 	defer func() {
 		b.mu.Lock()
@@ -139,6 +141,7 @@
 			}
 		}
 		b.stirred()
+		b.spurred()
 	}()
 	for {
 		f, err := c.Receive()
@@ -149,10 +152,11 @@
 	}
 }
 
-func (l *link) change(c *furrow.Change) {
+// news sends a numbered change with a word on the duty, which may be nil.
+func (l *link) news(c *furrow.Change, d *furrow.Duty) {
 	l.no++
 	c.No = l.no
-	_ = l.conn.Send(&furrow.Frame{Change: c})
+	_ = l.conn.Send(&furrow.Frame{Change: c, Duty: d})
 }
 
 // take takes in what another barn says.
@@ -166,6 +170,9 @@
 		l.leaving = true
 		b.stirred()
 	}
+	if f.Duty != nil {
+		b.hearDuty(l, f.Duty)
+	}
 	if c := f.Change; c != nil {
 		if c.Census != nil {
 			l.knows = true
--- a/internal/barn/operators.go
+++ b/internal/barn/operators.go
@@ -189,7 +189,7 @@
 		z := newest[name]
 		s.Zones = append(s.Zones, api.ZoneOrder{Zone: name, Drained: z.Drain, Count: z.Count, By: z.By, Confirmed: b.zones[name] == z})
 	}
-	s.Duties = []api.Duty{{Name: listDuty, Holder: b.holder(), Rank: b.rank()}}
+	s.Duties = []api.Duty{{Name: listDuty, Holder: b.steward.Known().Holder.Name, Rank: b.steward.Rank(b.view())}}
 	s.List = b.listView(now)
 	return s
 }
@@ -256,22 +256,6 @@
 	return text
 }
 
-// holder is who has the list's duty, by who is alive; the mutex is held.
-func (b *Barn) holder() string {
-	alive := []string{b.self.Name}
-	for name, all := range b.links {
-		if !all[len(all)-1].leaving {
-			alive = append(alive, name)
-		}
-	}
-	for _, name := range alive {
-		if Rank(listDuty, name, alive) == 0 {
-			return name
-		}
-	}
-	return ""
-}
-
 // listView tells of the list; the mutex is held.
 func (b *Barn) listView(now time.Duration) api.ListView {
 	l := api.ListView{Stamp: b.stamp, HeardMS: -1, Servers: []api.ServersIn{}}
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -31,6 +31,7 @@
 	Ask     *Ask    // barn to barn: a question with an id
 	Reply   *Reply  // and its answer
 	Leaving *string // the sender goes in order, for this reason
+	Duty    *Duty   // barn to barn: who has the list's duty
 }
 
 // Hello is the first frame of each side.
@@ -109,6 +110,7 @@
 type Servers struct {
 	Stamp int64    // nanoseconds of Unix time at which its caller began to ask
 	By    string   // the barn that asked
+	Term  Term     // barn to barn: of the duty by which it was read; zero: by nobody's
 	Part  bool     // what is in neither List nor Gone is as this connection told it last
 	List  []Server // by ID
 	Gone  []string // with Part: by ID, those that have left
--- a/internal/greenhouse/measure_test.go
+++ b/internal/greenhouse/measure_test.go
@@ -60,7 +60,7 @@
 		run  func(o *House)
 	}{
 		{"replace", measureReplace}, {"replace-cut", measureReplaceCut}, {"drain", measureDrain}, {"evacuate", measureEvacuate},
-		{"platform", measurePlatform}, {"power", measurePower}, {"all", measureAll},
+		{"platform", measurePlatform}, {"caller-killed", measureCallerKilled}, {"caller-dark", measureCallerDark}, {"power", measurePower}, {"all", measureAll},
 	} {
 		t.Run(m.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -200,6 +200,42 @@
 		len(o.Platform.Servers("")), o.Platform.Refused)
 }
 
+// gap ends the list's caller and returns the time from its last call to another's first.
+func (o *House) gap(end, back func(n *orchard.Node)) time.Duration {
+	o.Pass(calm)
+	asked := o.Platform.Asked
+	for o.Platform.Asked == asked { // from a reading on
+		time.Sleep(tick)
+	}
+	last, caller := time.Now(), o.ListsCaller()
+	o.Pass(150 * time.Millisecond) // its other pages, and the word of it
+	end(caller)
+	for o.ListsCaller() == caller && time.Since(last) < noneYet {
+		time.Sleep(tick)
+	}
+	gap := time.Since(last)
+	o.Pass(calm)
+	back(caller)
+	o.Pass(leadBack)
+	return gap
+}
+
+func measureCallerKilled(o *House) {
+	var all times
+	for range *measure {
+		all = append(all, o.gap(func(n *orchard.Node) { o.Stop(n) }, func(n *orchard.Node) { o.Start(n) }))
+	}
+	o.t.Logf("The list's caller killed after a reading: from its call to another's: %v", all)
+}
+
+func measureCallerDark(o *House) {
+	var all times
+	for range *measure {
+		all = append(all, o.gap(func(n *orchard.Node) { o.PowerOff(n) }, func(n *orchard.Node) { o.PowerOn(n) }))
+	}
+	o.t.Logf("The list's caller without power after a reading: from its call to another's: %v", all)
+}
+
 func measurePower(o *House) {
 	var all times
 	for i := range *measure {
--- a/internal/orchard/platform.go
+++ b/internal/orchard/platform.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -34,6 +35,27 @@
 	Asked   int    // calls in all
 	Refused int    // calls over the rate
 	caller  string // address of the last call
+	reads   []call // first pages
+}
+
+type call struct {
+	at time.Time
+	by string // address
+}
+
+// mostReads bounds what is kept of the calls.
+const mostReads = 10000
+
+// Readings are the moments since one at which somebody, or one of some nodes, began to read the list.
+func (p *Platform) Readings(since time.Time, by ...*Node) (at []time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.reads {
+		if c.at.After(since) && (len(by) == 0 || slices.ContainsFunc(by, func(n *Node) bool { return n.machine.IP() == c.by })) {
+			at = append(at, c.at)
+		}
+	}
+	return at
 }
 
 // view is the list as it stood at a time.
@@ -147,6 +169,9 @@
 	}
 	p.calls = append(recent, now)
 	p.Asked++
+	if r.URL.Query().Get(api.ServersToken) == "" && len(p.reads) < mostReads {
+		p.reads = append(p.reads, call{now, p.caller})
+	}
 	if p.down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
