Tell the other barns at once that a majority holds a version or a zone order

Cause: only the barn that was called knows when a majority holds an order; the others found it in their next round, every 400 ms, and only then pushed it to the hands that they lead. That was the tail from an acknowledgement to in force.

Change: furrow.Held goes to all barns once the order is held. Who has the body, stored or still on its way to the disk, puts it in force and pushes it; who was not asked to store it fetches it. It confirms the version only. Freshness is still counted from the last round that the barn itself began: that round found nothing above the word before, so nothing above this one; a barn cut off from the majority gets no younger word by it.

Tests: in force everywhere within the way, also with a hanging disk; no fresher word where only one barn is heard. Each fails without its line.

--- a/internal/barn/barn.go
+++ b/internal/barn/barn.go
@@ -66,6 +66,8 @@
 	steward *steward.Steward // of the list's duty
 	reads   reading
 
+	coming *furrow.Plot // sent here to be stored last, which may not be done yet
+
 	ops ops // what operators ask beyond the platform's calls
 }
 
--- /dev/null
+++ b/internal/barn/held_test.go
@@ -0,0 +1,65 @@
+package barn
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/sim"
+)
+
+func (r *running) confirmed() (gen uint64, drained bool, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.plot != nil {
+		gen = r.plot.Gen
+	}
+	return gen, r.zones["z0"].Drain, r.now() - r.fresh
+}
+
+// What a majority holds is in force at the other barns without a round of theirs, also where their disk hangs; it
+// makes nobody's word fresher.
+func TestHeldIsTold(t *testing.T) {
+	play(t, 4, func(f *farm) {
+		f.acknowledged(0, body(1, "a"))
+		time.Sleep(2 * time.Second)
+		f.disks[3].Hang()
+		for gen := 2; gen < 10; gen++ {
+			began := time.Now()
+			assert.NilError(t, f.replace(0, body(gen, "a")))
+			assert.NilError(t, f.runs[0].Drain(context.Background(), "z0", gen%2 == 0))
+			time.Sleep(2 * 20 * time.Millisecond) // the farm's longest way, and once more for what it carries
+			took := time.Since(began)
+			for i := range 4 {
+				got, drained, _ := f.runs[i].confirmed()
+				assert.Assert(t, int(got) == gen && drained == (gen%2 == 0), "barn-%d: r%d, drained %v", i, got, drained)
+			}
+			assert.Assert(t, took < roundEvery, "%v", took)
+			time.Sleep(time.Duration(gen) * 37 * time.Millisecond)
+		}
+	})
+}
+
+// A barn that hears no majority is told by one that does: its word is the newest, and as old as before.
+func TestHeldIsNotFresh(t *testing.T) {
+	play(t, 4, func(f *farm) {
+		f.acknowledged(0, body(1, "a"))
+		time.Sleep(2 * time.Second)
+		f.cut(ips(3), ips(1, 2), sim.Silent) // barn-0 hears all
+		time.Sleep(2 * time.Second)
+		_, _, age := f.runs[3].confirmed()
+		assert.Assert(t, age > time.Second, "%v", age)
+		assert.NilError(t, f.replace(0, body(2, "a")))
+		time.Sleep(40 * time.Millisecond)
+		gen, _, now := f.runs[3].confirmed()
+		assert.Equal(t, gen, uint64(2))
+		assert.Assert(t, now > age, "%v after %v", now, age)
+		f.runs[3].mu.Lock()
+		fresh := inForce(&furrow.Ping{Gen: 1, Held: 1}, f.runs[3].plot)
+		f.runs[3].mu.Unlock()
+		assert.Assert(t, !fresh) // nobody who has the version before is told that it is fresh
+	})
+}
--- a/internal/barn/mesh.go
+++ b/internal/barn/mesh.go
@@ -173,6 +173,9 @@
 	if f.Duty != nil {
 		b.hearDuty(l, f.Duty)
 	}
+	if f.Held != nil {
+		b.hearHeld(l, f.Held)
+	}
 	if c := f.Change; c != nil {
 		if c.Census != nil {
 			l.knows = true
--- a/internal/barn/word.go
+++ b/internal/barn/word.go
@@ -173,6 +173,9 @@
 		func(ctx context.Context) error { return b.store.StorePlot(ctx, p) })
 	if err == nil {
 		b.mu.Lock()
+		if granary.Above(p, b.plot) {
+			b.tellHeld(&furrow.Held{Gen: p.Gen, Digest: p.Digest})
+		}
 		b.confirmPlot(p)
 		b.mu.Unlock()
 	}
@@ -185,6 +188,9 @@
 		func(ctx context.Context) error { return b.store.StoreZone(ctx, z) })
 	if err == nil {
 		b.mu.Lock()
+		if granary.Over(z, b.zones[z.Zone]) {
+			b.tellHeld(&furrow.Held{Zone: &z})
+		}
 		b.confirmZone(z)
 		b.mu.Unlock()
 	}
@@ -275,7 +281,17 @@
 		if a.Store != nil {
 			if err = errors.New("spoilt on its way"); sound(a.Store) {
 				a.Store.Pack()
+				b.mu.Lock()
+				if granary.Above(a.Store, b.coming) {
+					b.coming = a.Store
+				}
+				b.mu.Unlock()
 				err = b.store.StorePlot(ctx, a.Store)
+				b.mu.Lock()
+				if b.coming == a.Store {
+					b.coming = nil
+				}
+				b.mu.Unlock()
 			}
 		}
 		if a.Zone != nil && err == nil {
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -32,6 +32,7 @@
 	Reply   *Reply  // and its answer
 	Leaving *string // the sender goes in order, for this reason
 	Duty    *Duty   // barn to barn: who has the list's duty
+	Held    *Held   // barn to barn: a majority holds this
 }
 
 // Hello is the first frame of each side.
@@ -98,6 +99,14 @@
 // Sum tells texts of one number from each other, in few bytes.
 func (p *Plot) Sum() uint32 { return binary.BigEndian.Uint32(p.Digest[:4]) }
 
+// Held names what a majority that vouches has on its disks, as the barn says that has just heard so. It says nothing of
+// when: nobody's word is fresher by it.
+type Held struct {
+	Gen    uint64 // 0: it is about a zone
+	Digest [32]byte
+	Zone   *Zone
+}
+
 // Zone is an order about a zone. The higher Count holds; among equal ones the higher By.
 type Zone struct {
 	Zone  string
