Take changed settings over whole or not at all while a process serves

Cause: SIGHUP changed the seeds only; bounds, zones, the platform's address and rate waited for a new start, without a word. Barns did not look at the file without a signal.

Gates take bounds over on their loop (Estate.Retune), so requests under way go on by what was decided and later ones by the new; hands take seeds and grace, barns the platform, zones, grace and time to live.

--- a/cmd/barn/main.go
+++ b/cmd/barn/main.go
@@ -22,6 +22,7 @@
 	"pepperfall.example/pepperfall/internal/silo"
 	"pepperfall.example/pepperfall/internal/tally"
 	"pepperfall.example/pepperfall/internal/world"
+	"pepperfall.example/pepperfall/internal/yoke"
 )
 
 func main() {
@@ -91,19 +92,17 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	told := make(chan os.Signal, 1)
-	signal.Notify(told, syscall.SIGHUP, syscall.SIGUSR1)
+	signals, told := make(chan os.Signal, 2), make(chan struct{}, 1)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
+	f := &yoke.Follow{Path: path, Clock: w, Log: log, Held: set, Take: b.SetSettings}
+	go f.Run(ctx, told)
 	go func() {
-		for s := range told {
+		for s := range signals {
 			if s == syscall.SIGUSR1 {
 				logs.Dump("asked for")
 				continue
 			}
-			if set, err := deed.Read(path); err != nil {
-				log.Error(err, "settings not taken over")
-			} else {
-				b.SetSeeds(set.Network.Seeds)
-			}
+			yoke.Tell(told)
 		}
 	}()
 	return b.Run(ctx)
--- a/cmd/gate/main.go
+++ b/cmd/gate/main.go
@@ -20,5 +20,15 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-e.Changed:
+				g.SetSettings(s)
+			}
+		}
+	}()
 	return g.Run(ctx, e.Leave)
 }
--- a/cmd/hand/main.go
+++ b/cmd/hand/main.go
@@ -32,7 +32,7 @@
 				leave = nil
 				h.Leave("told to end")
 			case s := <-e.Changed:
-				h.SetSeeds(hand.Seeds(s))
+				h.SetSettings(s)
 			}
 		}
 	}()
--- a/internal/barn/barn.go
+++ b/internal/barn/barn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -21,7 +22,8 @@
 type Barn struct {
 	w     world.World
 	log   logr.Logger
-	set   *deed.Settings
+	set   *deed.Settings                // as told at the start
+	live  atomic.Pointer[deed.Settings] // as told last; only what may change in service differs
 	self  furrow.Hello
 	store *granary.Granary
 	found granary.Found
@@ -83,6 +85,7 @@
 	b := &Barn{w: w, log: log, set: set, start: w.Now(), kick: make(chan struct{}, 1), stir: make(chan struct{}, 1), spur: make(chan struct{}, 1),
 		barns: map[string]furrow.Hello{}, keeps: map[string]*keep{}, links: map[string][]*link{}, hands: map[*hand]bool{},
 		zones: map[string]furrow.Zone{}, drained: map[string]bool{}}
+	b.live.Store(set)
 	s := set.Self
 	b.self = furrow.Hello{Version: furrow.Version, Role: furrow.Barn, Name: s.Name, Life: b.start.UnixNano(), IP: s.IP, Zone: s.Zone, Region: s.Region,
 		Voter: s.Voter, Inner: set.Inner(s.IP), Ctl: set.Network.Listen.Ctl, Dir: set.Network.Listen.Dir}
--- a/internal/barn/duty.go
+++ b/internal/barn/duty.go
@@ -66,7 +66,7 @@
 
 // due is when this barn reads the list; the mutex is held.
 func (b *Barn) due(v steward.View) time.Duration {
-	if b.set.Provider.Cloud.Address == "" || b.leaving {
+	if b.live.Load().Provider.Cloud.Address == "" || b.leaving {
 		return v.Now + time.Second
 	}
 	b.reads.work.Heard, b.reads.work.Others = b.heard, b.others
@@ -75,7 +75,7 @@
 
 // readOnce reads the list and takes it over.
 func (b *Barn) readOnce(ctx context.Context, stamp int64) {
-	cloud := b.set.Provider.Cloud
+	cloud := b.live.Load().Provider.Cloud
 	list, pages, err := b.readList(ctx, cloud.Address)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/barn/hands.go
+++ b/internal/barn/hands.go
@@ -134,7 +134,7 @@
 	}
 	if f.Leaving != nil {
 		if g.left = max(now, 1); *f.Leaving != furrow.Gone {
-			g.grace = b.set.Terms.Bounds.Grace
+			g.grace = b.live.Load().Terms.Bounds.Grace
 		} else {
 			g.grace = 0
 		}
--- a/internal/barn/hands_test.go
+++ b/internal/barn/hands_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"pepperfall.example/pepperfall/internal/deed"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/sim"
 )
@@ -290,3 +291,47 @@
 		assert.Assert(t, !inForce(&h.ping, held))
 	})
 }
+
+// The platform's address, the zones and the rate change in service.
+func TestSettingsChange(t *testing.T) {
+	one, two := &platform{servers: []string{row("a", "ready")}}, &platform{servers: []string{row("b", "ready")}}
+	platformed(t, 3, one, func(f *farm) {
+		ln, err := f.net.Host("10.8.0.2").Listen(context.Background(), "tcp", "10.8.0.2:80")
+		assert.NilError(t, err)
+		s := &http.Server{Handler: two}
+		defer s.Close()
+		go func() { _ = s.Serve(ln) }()
+		lists := func(id string) func() bool {
+			return func() bool {
+				for _, r := range f.runs {
+					r.mu.Lock()
+					is := r.list != nil && len(r.list.List) == 1 && r.list.List[0].ID == id
+					r.mu.Unlock()
+					if !is {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		f.until(2*time.Second, "the first list", lists("a"))
+		assert.ErrorIs(t, f.runs[0].Drain(context.Background(), "z9", true), ErrZone)
+		for i, r := range f.runs {
+			next := f.settings(i)
+			next.Provider.Cloud = deed.Cloud{Address: "10.8.0.2:80", RatePerS: 8}
+			next.Network.Zones["z9"] = "r"
+			r.SetSettings(next)
+		}
+		f.until(2*time.Second, "the other list", lists("b"))
+		assert.NilError(t, f.runs[0].Drain(context.Background(), "z9", true))
+		time.Sleep(2 * time.Second)
+		two.mu.Lock()
+		before := two.calls
+		two.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		two.mu.Lock()
+		calls := two.calls - before
+		two.mu.Unlock()
+		assert.Assert(t, calls >= 9 && calls <= 11, "%d calls", calls) // one a second
+	})
+}
--- a/internal/barn/http.go
+++ b/internal/barn/http.go
@@ -136,7 +136,7 @@
 			fronts = fronts[:api.MostAddresses]
 		}
 		w.Header().Set("Content-Type", jsonType)
-		_ = json.NewEncoder(w).Encode(api.Lookup{AddrList: fronts, TTLS: min(answersFor, b.set.Terms.Bounds.TTLMax).Seconds()})
+		_ = json.NewEncoder(w).Encode(api.Lookup{AddrList: fronts, TTLS: min(answersFor, b.live.Load().Terms.Bounds.TTLMax).Seconds()})
 	})
 	return m
 }
--- a/internal/barn/mesh.go
+++ b/internal/barn/mesh.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"pepperfall.example/pepperfall/internal/deed"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/world"
 )
@@ -31,7 +32,14 @@
 	wake chan struct{}
 }
 
-// SetSeeds takes over what a settings file says.
+// SetSettings takes over what a settings file says that may change in service.
+func (b *Barn) SetSettings(s *deed.Settings) {
+	b.live.Store(s)
+	b.SetSeeds(s.Network.Seeds)
+	b.spurred()
+}
+
+// SetSeeds takes over whom to dial first.
 func (b *Barn) SetSeeds(seeds []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/barn/word.go
+++ b/internal/barn/word.go
@@ -74,7 +74,7 @@
 
 // Drain takes an order about a zone.
 func (b *Barn) Drain(ctx context.Context, zone string, drain bool) error {
-	if _, ok := b.set.Network.Zones[zone]; !ok {
+	if _, ok := b.live.Load().Network.Zones[zone]; !ok {
 		return errors.WithMessage(ErrZone, zone)
 	}
 	ctx, cancel := b.within(ctx, callWithin)
--- a/internal/deed/settings.go
+++ b/internal/deed/settings.go
@@ -11,12 +11,13 @@
 const Env = "PEPPERFALL_NODE_FILE"
 
 // Settings is what a process is told. The key tags give the names in the file;
-// a key that is left out has its default tag's value, else the zero one.
+// a key that is left out has its default tag's value, else the zero one. The live tag marks what may change while the
+// process serves; all below it may.
 type Settings struct {
 	Self     Self     `key:"self"`
 	Network  Network  `key:"network"`
 	Provider Provider `key:"provider"`
-	Terms    Terms    `key:"terms"`
+	Terms    Terms    `key:"terms" live:"true"`
 }
 
 // Self is the process and its machine.
@@ -48,8 +49,8 @@
 type Network struct {
 	Listen    Listen            `key:"listen"`
 	PortRange [2]int            `key:"port_range" validate:"required"` // first and last port for what nodes say to each other
-	Seeds     []string          `key:"seeds" validate:"min=1,dive,hostname_port"`
-	Zones     map[string]string `key:"zones"` // region by zone
+	Seeds     []string          `key:"seeds" validate:"min=1,dive,hostname_port" live:"true"`
+	Zones     map[string]string `key:"zones" live:"true"` // region by zone
 }
 
 // Listen holds host:port for what the role serves; empty: it does not.
@@ -66,7 +67,7 @@
 	Discovery string        `key:"discovery"`
 	Entry     string        `key:"entry"`
 	Heartbeat time.Duration `key:"heartbeat_ms" default:"1500"`
-	Cloud     Cloud         `key:"cloud_api"`
+	Cloud     Cloud         `key:"cloud_api" live:"true"`
 	ConfMode  string        `key:"conf_mode"`
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -39,21 +39,29 @@
 
 // New opens a proxy's sockets.
 func New(s *deed.Settings, w world.World, log logr.Logger) (*Gate, error) {
-	h := fnv.New64a()
-	h.Write([]byte(s.Self.Name))
-	b := s.Terms.Bounds
 	now := w.Now()
-	e, err := node.NewEstate(node.EstateConfig{Listen: s.Network.Listen.HTTP, Peer: s.Peer(s.Self.IP), Zone: s.Self.Zone,
-		Region: s.Self.Region, Seed: h.Sum64() ^ uint64(now.UnixNano()), Sockets: s.Self.Limits.MaxFDs, World: w,
-		Regions: s.Network.Zones, Grace: b.Grace, Revoked: b.Revoked, Revoke: b.Revoke, RetryRatio: b.RetryRatio,
-		RetrySlack: b.RetrySlack, QuotaExcess: b.QuotaExcess, QuotaSlack: b.QuotaSlack, QuotaWindow: b.QuotaWindow, WarmupExcess: b.WarmupExcess,
-		WarmupSlack: b.WarmupSlack, ListLag: s.Provider.Cloud.MaxLag})
+	e, err := node.NewEstate(estateOf(s, w, uint64(now.UnixNano())))
 	if err != nil {
 		return nil, err
 	}
 	return &Gate{set: s, w: w, log: log, estate: e, start: now, life: now.UnixNano()}, nil
 }
 
+// estateOf is what an edge node is told by the settings.
+func estateOf(s *deed.Settings, w world.World, seed uint64) node.EstateConfig {
+	h := fnv.New64a()
+	h.Write([]byte(s.Self.Name))
+	b := s.Terms.Bounds
+	return node.EstateConfig{Listen: s.Network.Listen.HTTP, Peer: s.Peer(s.Self.IP), Zone: s.Self.Zone,
+		Region: s.Self.Region, Seed: h.Sum64() ^ seed, Sockets: s.Self.Limits.MaxFDs, World: w,
+		Regions: s.Network.Zones, Grace: b.Grace, Revoked: b.Revoked, Revoke: b.Revoke, RetryRatio: b.RetryRatio,
+		RetrySlack: b.RetrySlack, QuotaExcess: b.QuotaExcess, QuotaSlack: b.QuotaSlack, QuotaWindow: b.QuotaWindow, WarmupExcess: b.WarmupExcess,
+		WarmupSlack: b.WarmupSlack, ListLag: s.Provider.Cloud.MaxLag}
+}
+
+// SetSettings takes over what of the settings may change in service, once Run serves.
+func (g *Gate) SetSettings(s *deed.Settings) { g.estate.Retune(estateOf(s, g.w, 0)) }
+
 // Run serves until leave is closed, and then until what is open is answered.
 func (g *Gate) Run(ctx context.Context, leave <-chan struct{}) error {
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/grove/grove.go
+++ b/internal/grove/grove.go
@@ -92,6 +92,14 @@
 	return true
 }
 
+// Retell takes over other terms, also for the lives that are known.
+func (g *Grove) Retell(t Terms) {
+	g.Terms = t
+	for _, l := range g.lives {
+		l.Region = t.Regions[l.Zone]
+	}
+}
+
 // Services takes over the operator's services.
 func (g *Grove) Services(s map[string]Service) { g.services = s }
 
--- a/internal/hand/config.go
+++ b/internal/hand/config.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// SetSettings takes over what may change in service: the seeds and the grace.
+func (h *Hand) SetSettings(s *deed.Settings) {
+	next := ConfigOf(s, time.Time{})
+	h.mu.Lock()
+	h.cfg.Grace = next.Grace
+	h.mu.Unlock()
+	h.SetSeeds(next.Seeds)
+}
+
 // Seeds are the furrows of the barns whose ctl addresses are named.
 func Seeds(s *deed.Settings) (all []string) {
 	for _, ctl := range s.Network.Seeds {
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -102,10 +102,10 @@
 			h.mu.Unlock()
 		}
 		h.mu.Lock()
-		leaving, alone := h.leaving != "", h.gate == nil
+		leaving, alone, grace := h.leaving != "", h.gate == nil, h.cfg.Grace
 		h.mu.Unlock()
 		if leaving && until == 0 {
-			until = h.now() + h.cfg.Grace
+			until = h.now() + grace
 		}
 		if leaving && (alone || h.now() >= until) {
 			h.finish()
--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -82,15 +82,12 @@
 	clk := newClock(w)
 	up := &upstream{clock: clk, network: w, limit: estateDial, idleFor: estateIdle, grace: time.Second, rest: restFor,
 		most: int(serverPart * float64(cfg.Sockets)), servers: map[policy.ServerID]*appServer{}, estate: true}
-	n := &Node{world: w, up: up, loop: newLoop(clk, g, up), stop: stopping{cfg.Grace / 2, cfg.Grace / 2, cfg.Grace - cfg.Grace/8}}
+	n := &Node{world: w, up: up, loop: newLoop(clk, g, up), stop: stopsIn(cfg.Grace)}
 	n.loop.lookEvery = estateLook
 	n.server = newServer(clk, set, up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
-	e := &Estate{node: n, cfg: cfg, field: field, grove: &grove.Grove{Terms: grove.Terms{Excess: cfg.WarmupExcess,
-		Slack: cfg.WarmupSlack, Lag: cfg.ListLag, Regions: cfg.Regions}}}
+	e := &Estate{node: n, cfg: cfg, field: field, grove: &grove.Grove{Terms: groveTerms(&cfg)}}
 	e.estate = &estate{clock: clk, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x657374))}
-	if cfg.Revoked {
-		e.estate.freshFor = max(freshMargin, cfg.Revoke-freshMargin)
-	}
+	e.estate.freshFor.Store(int64(freshFor(&cfg)))
 	n.server.estate, n.server.over = e.estate, n.loop.over
 	if n.peers, err = listenPeers(w, cfg.Peer, nil, netip.AddrPort{}, func(from int, data []byte) {
 		select {
@@ -129,6 +126,7 @@
 	case <-stop.Done():
 	}
 	e.ready.Store(false)
+	e.in(func(*loop) { n.stop = stopsIn(e.cfg.Grace) })
 	n.drain()
 	return nil
 }
@@ -161,10 +159,9 @@
 	for _, b := range p.Backends {
 		services[b.Name] = grove.Service{Warmup: b.Warmup, PerS: b.WarmupPerS, MostOut: b.MaxConns}
 	}
-	terms := e.terms(p, classes)
 	e.in(func(l *loop) {
 		e.grove.Services(services)
-		l.decide(terms)
+		l.decide(e.terms(p, classes))
 		e.members(l)
 	})
 }
@@ -216,7 +213,7 @@
 	e.node.peers.meet(to)
 	e.estate.shares.Store(int64(shares))
 	e.in(func(l *loop) {
-		e.field.RetryCap = max(1, e.cfg.RetrySlack*budgetPart/float64(shares))
+		e.field.RetryCap = e.retryCap()
 		l.decide(policy.Peers{Me: me, Gateways: numbers, Shares: shares, Regions: regions})
 		e.members(l)
 	})
--- a/internal/node/passing.go
+++ b/internal/node/passing.go
@@ -28,8 +28,8 @@
 // estate is what requests are read by on the system's wire.
 type estate struct {
 	clock     clock
-	freshFor  time.Duration // how old control's word may be for requests with a key; 0: any age
-	confirmed atomic.Int64  // by the clock
+	freshFor  atomic.Int64 // how old control's word may be for requests with a key; 0: any age
+	confirmed atomic.Int64 // by the clock
 	shares    atomic.Int64
 	tilled    atomic.Pointer[tilled]
 
@@ -75,7 +75,8 @@
 }
 
 func (e *estate) isFresh(now time.Duration) bool {
-	return e.freshFor == 0 || now-time.Duration(e.confirmed.Load()) < e.freshFor
+	most := time.Duration(e.freshFor.Load())
+	return most == 0 || now-time.Duration(e.confirmed.Load()) < most
 }
 
 // unready turns a request away that can't be decided about yet.
--- /dev/null
+++ b/internal/node/retune.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"time"
+
+	"pepperfall.example/pepperfall/internal/grove"
+)
+
+func groveTerms(cfg *EstateConfig) grove.Terms {
+	return grove.Terms{Excess: cfg.WarmupExcess, Slack: cfg.WarmupSlack, Lag: cfg.ListLag, Regions: cfg.Regions}
+}
+
+// stopsIn is when a planned stop takes its steps that is over in a time.
+func stopsIn(grace time.Duration) stopping { return stopping{grace / 2, grace / 2, grace - grace/8} }
+
+// freshFor is how old control's word may be for requests with a key; 0: any age.
+func freshFor(cfg *EstateConfig) time.Duration {
+	if !cfg.Revoked {
+		return 0
+	}
+	return max(freshMargin, cfg.Revoke-freshMargin)
+}
+
+// retryCap is how many further tries this edge node may save up; on the loop.
+func (e *Estate) retryCap() float64 {
+	return max(1, e.cfg.RetrySlack*budgetPart/float64(max(1, e.estate.shares.Load())))
+}
+
+// Retune takes over the bounds of cfg, its zones' regions and the list's lag while the edge node serves. What it was
+// told at its start alone, as its addresses, is passed over. All is in force when Retune returns; requests under way go on.
+func (e *Estate) Retune(cfg EstateConfig) {
+	e.in(func(l *loop) {
+		old := e.cfg
+		e.cfg = cfg
+		e.cfg.Listen, e.cfg.Peer, e.cfg.Zone, e.cfg.Region, e.cfg.Seed, e.cfg.Sockets, e.cfg.World = old.Listen, old.Peer, old.Zone, old.Region, old.Seed, old.Sockets, old.World
+		e.estate.freshFor.Store(int64(freshFor(&cfg)))
+		e.field.RetryEarn, e.field.RetryCap = cfg.RetryRatio*budgetPart, e.retryCap()
+		e.grove.Retell(groveTerms(&cfg))
+		if t := e.estate.tilled.Load(); t != nil {
+			l.decide(e.terms(t.plot, t.classes))
+		}
+		e.members(l)
+	})
+}
--- /dev/null
+++ b/internal/node/retune_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/standin"
+)
+
+// New bounds hold from the moment that they are told, requests under way don't suffer, and addresses stay.
+func TestEstateRetuned(t *testing.T) {
+	play(t, true, func(r *rig) {
+		r.acts = []act{func(c net.Conn, q *standin.Request) bool {
+			time.Sleep(time.Second)
+			return served(c, q)
+		}, served}
+		r.tell()
+		r.Confirm(0)
+		time.Sleep(3 * time.Second)
+		slow := r.dial()
+		_, err := io.WriteString(slow, wired("/act/", ""))
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, r.ask("/act/", "").StatusCode, 200)
+		cfg := r.cfg
+		cfg.Revoke, cfg.Grace, cfg.RetrySlack, cfg.WarmupSlack, cfg.Zone = 2*time.Second, 2*time.Second, 10, 7, "b"
+		r.Retune(cfg)
+		assert.Equal(t, r.ask("/act/", "").StatusCode, 503) // control's word is too old by now
+		a := r.answer(slow)
+		assert.Assert(t, a.StatusCode == 200 && a.body == "yes")
+		r.Confirm(0)
+		assert.Equal(t, r.ask("/act/", "").StatusCode, 200)
+		assert.Assert(t, r.cfg.Zone == "a" && r.grove.Terms.Slack == 7 && r.field.RetryCap == 10*budgetPart)
+		began := time.Now()
+		r.stop()
+		r.ended <- <-r.ended
+		assert.Assert(t, time.Since(began) < 2*time.Second, "%v", time.Since(began))
+	})
+}
--- a/internal/orchard/fault.go
+++ b/internal/orchard/fault.go
@@ -1,6 +1,11 @@
 package orchard
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/deed"
+)
 
 // restartAfter is when the platform starts a process again.
 const restartAfter = 300 * time.Millisecond
@@ -96,3 +101,29 @@
 
 // Front is where clients reach an edge machine.
 func (n *Node) Front() string { return address(n.IP(), portHTTP) }
+
+// Resettle changes lines of the settings of all processes while they serve.
+func (o *Orchard) Resettle(lines map[string]string) error {
+	all := maps.Clone(o.layout.Bounds)
+	if all == nil {
+		all = map[string]string{}
+	}
+	maps.Copy(all, lines)
+	o.layout.Bounds = all
+	for _, n := range o.Nodes {
+		for _, role := range n.Roles() {
+			next, err := o.settings(n, role)
+			if err != nil {
+				return err
+			}
+			n.mu.Lock()
+			r := n.runs[role]
+			n.mu.Unlock()
+			if r != nil {
+				r.held, _, _ = deed.Renew(r.held, next)
+				r.settle(r.held)
+			}
+		}
+	}
+	return nil
+}
--- a/internal/orchard/leave_test.go
+++ b/internal/orchard/leave_test.go
@@ -70,3 +70,27 @@
 		o.Served(began, 0.99)
 	})
 }
+
+// The settings of all processes change under traffic, again and again: nothing is lost, and the new bounds hold.
+func TestSettingsChangeInService(t *testing.T) {
+	t.Parallel()
+	l := usual()
+	l.Rate = 60
+	Play(t, l, func(o *House) {
+		o.Pass(contact)
+		began := time.Now()
+		for _, revoke := range []string{"4000", "5000", "2500"} {
+			assert.NilError(t, o.Resettle(map[string]string{"terms.bounds.revoke_ms": revoke, "terms.bounds.quota_slack": "10",
+				"terms.bounds.warmup_slack": "4", "terms.bounds.retry_slack": "30", "self.zone": "nowhere", "provider.cloud_api.rate_per_s": "20"}))
+			o.Pass(2 * time.Second)
+		}
+		o.Served(began, 0.99)
+		cores := o.Cores()
+		o.Cut([]*Node{o.Edge(0)}, cores, sim.Silent)
+		o.Pass(2500 * time.Millisecond) // it may not know that a key was taken away
+		assert.Equal(t, o.Clients.Probe(o.Edge(0), "one.example", "/a/x", "key-ion"), 503)
+		o.Join([]*Node{o.Edge(0)}, cores)
+		o.Pass(contact)
+		assert.Equal(t, o.Clients.Probe(o.Edge(0), "one.example", "/a/x", "key-ion"), 200)
+	})
+}
--- a/internal/orchard/process.go
+++ b/internal/orchard/process.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"pepperfall.example/pepperfall/internal/barn"
+	"pepperfall.example/pepperfall/internal/deed"
 	"pepperfall.example/pepperfall/internal/gate"
 	"pepperfall.example/pepperfall/internal/hand"
 	"pepperfall.example/pepperfall/internal/silo"
@@ -56,6 +57,8 @@
 	done    chan struct{}
 	left    bool
 	inForce func() uint64 // of a gate
+	held    *deed.Settings
+	settle  func(*deed.Settings)
 }
 
 // ring keeps a process' log, to be shown where a story fails.
@@ -119,7 +122,7 @@
 	}
 	p := n.machine.Start()
 	ctx, stop := context.WithCancel(context.Background())
-	r := &run{process: p, leave: make(chan struct{}), stop: stop, done: make(chan struct{})}
+	r := &run{held: set, process: p, leave: make(chan struct{}), stop: stop, done: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.runs[role] != nil {
@@ -140,10 +143,11 @@
 			delete(n.runs, role)
 			return errors.WithMessage(err, n.Name)
 		}
-		r.inForce = g.InForce
+		r.inForce, r.settle = g.InForce, g.SetSettings
 		serve = func() error { return g.Run(ctx, r.leave) }
 	case Hand:
 		h := hand.New(hand.ConfigOf(set, p.Now()), p, logs.Logger())
+		r.settle = h.SetSettings
 		serve = func() error {
 			defer context.AfterFunc(told(ctx, r.leave), func() { h.Leave("told to end") })()
 			return h.Run(ctx)
@@ -151,6 +155,7 @@
 	case Barn:
 		b := barn.New(set, p, n.disk.Mount(), logs.Logger())
 		b.ShowLog(logs.Silo)
+		r.settle = b.SetSettings
 		serve = func() error { return b.Run(told(ctx, r.leave)) }
 	}
 	o.all.Go(func() {
--- a/internal/yoke/yoke.go
+++ b/internal/yoke/yoke.go
@@ -9,7 +9,6 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -24,9 +23,8 @@
 const BadSettings = 2
 
 const (
-	lines     = 256 // of the log that are held
-	lookEvery = 10 * time.Second
-	memPart   = 0.8 // of the memory limit, from where on garbage is collected harder
+	lines   = 256 // of the log that are held
+	memPart = 0.8 // of the memory limit, from where on garbage is collected harder
 )
 
 // Daemon is a process of the system.
@@ -44,7 +42,7 @@
 	Log      logr.Logger
 	Silo     *silo.Silo
 	Leave    <-chan struct{}       // closed when the process is told to end
-	Changed  <-chan *deed.Settings // settings read anew; faulty ones are only logged
+	Changed  <-chan *deed.Settings // new ones to serve by; faulty ones are only logged
 	stderr   io.Writer
 }
 
@@ -115,15 +113,22 @@
 	defer signal.Stop(signals)
 	leave, changed := make(chan struct{}), make(chan *deed.Settings, 1)
 	e := &Env{Settings: s, World: w, Log: ring.Logger().WithName(d.Name), Silo: ring, Leave: leave, Changed: changed, stderr: stderr}
-	go e.heed(ctx, path, signals, leave, changed)
+	told := make(chan struct{}, 1)
+	f := &Follow{Path: path, Clock: w, Log: e.Log, Held: s, Take: func(s *deed.Settings) {
+		select {
+		case <-changed: // nobody took the one before
+		default:
+		}
+		changed <- s
+	}}
+	go f.Run(ctx, told)
+	go e.heed(ctx, signals, leave, told)
 	return d.Run(ctx, e)
 }
 
-// heed follows signals, and the settings file, which may change without one.
-func (e *Env) heed(ctx context.Context, path string, signals <-chan os.Signal, leave chan struct{}, changed chan *deed.Settings) {
-	t := e.World.NewTimer(lookEvery)
-	defer t.Stop()
-	was, left := stamp(path), false
+// heed follows signals.
+func (e *Env) heed(ctx context.Context, signals <-chan os.Signal, leave, told chan struct{}) {
+	left := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -132,41 +137,22 @@
 			switch s {
 			case syscall.SIGUSR1:
 				e.Silo.Dump("asked for")
-				continue
 			case syscall.SIGHUP:
-				was = stamp(path)
+				Tell(told)
 			default:
 				if !left {
 					left = true
 					close(leave)
 				}
-				continue
-			}
-		case <-t.C():
-			t.Reset(lookEvery)
-			is := stamp(path)
-			if is == was {
-				continue
 			}
-			was = is
 		}
-		s, err := deed.Read(path)
-		if err != nil {
-			e.Log.Error(err, "the settings held before stay")
-			continue
-		}
-		select {
-		case <-changed: // nobody took the one before
-		default:
-		}
-		changed <- s
 	}
 }
 
-// stamp changes with a file.
-func stamp(path string) (s struct{ at, size int64 }) {
-	if i, err := os.Stat(path); err == nil {
-		s.at, s.size = i.ModTime().UnixNano(), i.Size()
+// Tell has a Follow read its file now.
+func Tell(told chan<- struct{}) {
+	select {
+	case told <- struct{}{}:
+	default: // it is to already
 	}
-	return s
 }
