--- a/internal/barn/list.go
+++ b/internal/barn/list.go
@@ -90,7 +90,9 @@
 	if len(s.List) > 0 {
 		s = b.sober(s)
 		if b.list == nil || s.Since(b.list) != nil {
-			b.list = s
+			held := *s
+			held.Term = furrow.Term{} // whoever is told it later knows newer terms
+			b.list = &held
 			b.tellList()
 		}
 	}
