--- a/internal/barn/barn.go
+++ b/internal/barn/barn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -13,6 +14,7 @@
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/granary"
 	"pepperfall.example/pepperfall/internal/plot"
+	"pepperfall.example/pepperfall/internal/steward"
 	"pepperfall.example/pepperfall/internal/world"
 )
 
@@ -20,7 +22,8 @@
 type Barn struct {
 	w     world.World
 	log   logr.Logger
-	set   *deed.Settings
+	set   *deed.Settings                // as told at the start
+	live  atomic.Pointer[deed.Settings] // as told last; only what may change in service differs
 	self  furrow.Hello
 	store *granary.Granary
 	found granary.Found
@@ -28,6 +31,7 @@
 	cloud *http.Client
 	kick  chan struct{} // a round of heads is wanted now
 	stir  chan struct{} // the census has changed
+	spur  chan struct{} // the duty may have changed
 	jobs  sync.WaitGroup
 	ctx   context.Context // of all that runs
 
@@ -58,8 +62,14 @@
 	list    *furrow.Servers // the newest that is known
 	stamp   int64           // of the newest reading, which may have told the same
 	heard   time.Duration   // when that was heard
+	others  time.Duration   // when one of another barn's was
 	drained map[string]bool // lives that were seen draining
 
+	steward *steward.Steward // of the list's duty
+	reads   reading
+
+	coming *furrow.Plot // sent here to be stored last, which may not be done yet
+
 	ops ops // what operators ask beyond the platform's calls
 }
 
@@ -72,9 +82,10 @@
 
 // New makes a barn; disk is nil where it has none.
 func New(set *deed.Settings, w world.World, disk world.Disk, log logr.Logger) *Barn {
-	b := &Barn{w: w, log: log, set: set, start: w.Now(), kick: make(chan struct{}, 1), stir: make(chan struct{}, 1),
+	b := &Barn{w: w, log: log, set: set, start: w.Now(), kick: make(chan struct{}, 1), stir: make(chan struct{}, 1), spur: make(chan struct{}, 1),
 		barns: map[string]furrow.Hello{}, keeps: map[string]*keep{}, links: map[string][]*link{}, hands: map[*hand]bool{},
 		zones: map[string]furrow.Zone{}, drained: map[string]bool{}}
+	b.live.Store(set)
 	s := set.Self
 	b.self = furrow.Hello{Version: furrow.Version, Role: furrow.Barn, Name: s.Name, Life: b.start.UnixNano(), IP: s.IP, Zone: s.Zone, Region: s.Region,
 		Voter: s.Voter, Inner: set.Inner(s.IP), Ctl: set.Network.Listen.Ctl, Dir: set.Network.Listen.Dir}
@@ -92,6 +103,7 @@
 	b.vouches = s.Voter && b.found == granary.Whole
 	b.gates = newRegister(b.store.Census(), 0)
 	b.cloud = newCloud(w)
+	b.steward = steward.New(listDuty, furrow.Seat{Name: s.Name, Life: b.self.Life}, s.Zone)
 	return b
 }
 
@@ -114,7 +126,7 @@
 	b.jobs.Go(func() { _ = furrow.Serve(inner, b.w, ln, b.hello, b.log, b.accept) })
 	b.jobs.Go(func() { b.rounds(inner) })
 	b.jobs.Go(func() { b.watch(inner) })
-	b.jobs.Go(func() { b.lists(inner) })
+	b.jobs.Go(func() { b.duties(inner) })
 	b.SetSeeds(b.set.Network.Seeds)
 	b.mu.Lock()
 	for _, h := range b.barns {
@@ -138,9 +150,13 @@
 	defer b.mu.Unlock()
 	b.leaving = true
 	why := "told to end"
+	var duty *furrow.Duty
+	for _, t := range b.steward.Leave() {
+		duty = &t.Duty
+	}
 	for _, all := range b.links {
 		for _, l := range all {
-			_ = l.conn.Send(&furrow.Frame{Leaving: &why})
+			_ = l.conn.Send(&furrow.Frame{Leaving: &why, Duty: duty})
 		}
 	}
 	for h := range b.hands {
--- a/internal/barn/mesh.go
+++ b/internal/barn/mesh.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"pepperfall.example/pepperfall/internal/deed"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/world"
 )
@@ -31,7 +32,14 @@
 	wake chan struct{}
 }
 
-// SetSeeds takes over what a settings file says.
+// SetSettings takes over what a settings file says that may change in service.
+func (b *Barn) SetSettings(s *deed.Settings) {
+	b.live.Store(s)
+	b.SetSeeds(s.Network.Seeds)
+	b.spurred()
+}
+
+// SetSeeds takes over whom to dial first.
 func (b *Barn) SetSeeds(seeds []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -115,12 +123,14 @@
 	b.links[h.Name] = append(b.links[h.Name], l)
 	b.learn(*h)
 	l.told = b.held()
-	l.change(&furrow.Change{Census: b.known(), Servers: l.told})
+	duty := b.steward.Greet()
+	l.news(&furrow.Change{Census: b.known(), Servers: l.told}, &duty)
 	if k := b.keeps[h.Inner]; k != nil && k.stop != nil && b.calledBy(h.Inner) {
 		k.stop()
 	}
 	b.mu.Unlock()
 	b.rouse()
+	b.spurred()
 	b.log.Info("barn connected", "name", h.Name, "dialled", dialled)
 	defer func() {
 		b.mu.Lock()
@@ -139,6 +149,7 @@
 			}
 		}
 		b.stirred()
+		b.spurred()
 	}()
 	for {
 		f, err := c.Receive()
@@ -149,10 +160,11 @@
 	}
 }
 
-func (l *link) change(c *furrow.Change) {
+// news sends a numbered change with a word on the duty, which may be nil.
+func (l *link) news(c *furrow.Change, d *furrow.Duty) {
 	l.no++
 	c.No = l.no
-	_ = l.conn.Send(&furrow.Frame{Change: c})
+	_ = l.conn.Send(&furrow.Frame{Change: c, Duty: d})
 }
 
 // take takes in what another barn says.
@@ -166,6 +178,12 @@
 		l.leaving = true
 		b.stirred()
 	}
+	if f.Duty != nil {
+		b.hearDuty(l, f.Duty)
+	}
+	if f.Held != nil {
+		b.hearHeld(l, f.Held)
+	}
 	if c := f.Change; c != nil {
 		if c.Census != nil {
 			l.knows = true
