--- /dev/null
+++ b/internal/harvest/join.go
@@ -0,0 +1,42 @@
+package harvest
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+// Times of a join.
+const (
+	RiseFor = 2 * time.Second // until a joiner is in all answers to clients
+	HeardBy = time.Second     // who is heard so long after a join has been told of it
+)
+
+// Less is the part of its share that a joiner must not use, out of so many shares. Of the others some have joined with
+// it, and some are silent since: those still hold what was theirs by the smaller number. So it takes from the rest only.
+func Less(shares, joined, silent int) float64 {
+	old := shares - joined
+	if joined <= 0 || silent <= 0 || old <= 0 {
+		return 0 // nobody is here who has to give
+	}
+	return min(1, float64(silent)/float64(old))
+}
+
+// Risen tells whether a joiner that became ready so long ago is in an answer to clients of some place: in a part
+// of all places' answers that rises to all. The same joiner and place always come out alike.
+func Risen(joiner, place string, age time.Duration) bool {
+	if age >= RiseFor {
+		return true
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(joiner + "\x00" + place))
+	x := h.Sum64() // fnv's first bits follow the last bytes little
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x)/math.MaxUint64 < float64(age)/float64(RiseFor)
+}
+
+// Spared tells whether joiners may be left out of answers: those who are not young bear the load for a while. After a
+// first start, or where many were lost at once, all are told of at once.
+func Spared(young, old int) bool { return young > 0 && old >= 3*young }
--- /dev/null
+++ b/internal/harvest/leave.go
@@ -0,0 +1,60 @@
+package harvest
+
+import "time"
+
+// Parts of the grace, and times, of a leave.
+const (
+	doorPart = 2                      // the door shuts after this part of the grace: clients know of it by then
+	lateDoor = 8                      // and this part later also where requests go on coming
+	lastPart = 8                      // this part is left when all ends
+	quietFor = 100 * time.Millisecond // nothing has come for so long
+	ColdSpan = 1150 * time.Millisecond
+)
+
+// Stage is how far a leave has come.
+type Stage int
+
+// The stages in their order. Unfound and unchosen begin together: the gate is not ready, and each answer is its
+// connection's last.
+const (
+	Unfound   Stage = iota // clients are not told of it any more; those that know it come
+	Cool                   // it sends nothing to cold servers: others may, ColdSpan later
+	Shut                   // its door is shut; it has stopped to use its shares, and hands them over
+	Answering              // its shares are nobody's or others'; what is out is answered
+	Ended
+)
+
+// Facts are what a leave goes by.
+type Facts struct {
+	Open   int           // clients' connections
+	Quiet  time.Duration // since a request last came
+	Handed bool          // the hand-over is done
+}
+
+// Leave is the order in which a gate goes.
+type Leave struct {
+	Grace time.Duration
+	stage Stage
+}
+
+// Stage is where it stands.
+func (l *Leave) Stage() Stage { return l.stage }
+
+// Step goes on to the next stage where that is due, so long after the leave began; one at a time. None waits for
+// others to answer: what is not acknowledged by its time is over.
+func (l *Leave) Step(past time.Duration, f Facts) (Stage, bool) {
+	was, door := l.stage, l.Grace/doorPart
+	switch {
+	case past >= l.Grace-l.Grace/lastPart:
+		l.stage = Ended
+	case was == Unfound && past >= door-ColdSpan:
+		l.stage = Cool
+	case was == Cool && past >= door && (f.Quiet >= quietFor || past >= door+l.Grace/lateDoor):
+		l.stage = Shut
+	case was == Shut && f.Handed:
+		l.stage = Answering
+	case was == Answering && f.Open == 0 && f.Quiet >= quietFor:
+		l.stage = Ended
+	}
+	return l.stage, l.stage != was
+}
