Leave in stages: parts are given up once the door is shut

Need: a gate that leaves held its part of each quota until its last answer, and what it had in store was lost; a gate that joins used its part before those behind a cut could know of it. Now it stops to use what it holds when its door shuts, hands it over, and says so; barns divide by one less at once. A joiner leaves unused what is still others'.

--- a/internal/barn/census.go
+++ b/internal/barn/census.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/harvest"
 )
 
 // Times of the census.
@@ -24,12 +25,16 @@
 	every time.Duration // between two of its hand's words; 0: as is usual
 	left  time.Duration // when it said that it leaves; 0: it did not
 	grace time.Duration // it has ended so long after that
+
+	joined time.Duration // when it began to count; 0: it did from the start
+	risen  time.Duration // when it was first ready after that; 0: it was not yet
+	given  bool          // it has given its parts up
 }
 
 func (g *gate) alive(now time.Duration) bool { return g.up && now-g.heard < furrow.Patience(g.every) }
 
 func (g *gate) counts(now time.Duration) bool {
-	if g.left > 0 && now-g.left >= g.grace+leavesFor {
+	if g.given || g.left > 0 && now-g.left >= g.grace+leavesFor {
 		return false
 	}
 	return now-g.heard < countsFor
@@ -59,7 +64,10 @@
 		g = &gate{}
 		r.gates[h.Name], r.sorted = g, nil
 	}
-	g.hello, g.heard, g.left, g.up = h, now, 0, true
+	if isNew || !g.counts(now) {
+		g.joined, g.risen = max(now, 1), 0
+	}
+	g.hello, g.heard, g.left, g.given, g.up = h, now, 0, false, true
 	return g, isNew
 }
 
@@ -68,7 +76,7 @@
 	if r.gates[m.Hello.Name] != nil {
 		return false
 	}
-	r.gates[m.Hello.Name], r.sorted = &gate{hello: m.Hello, heard: now}, nil
+	r.gates[m.Hello.Name], r.sorted = &gate{hello: m.Hello, heard: now, joined: max(now, 1)}, nil
 	return true
 }
 
@@ -95,7 +103,8 @@
 			continue // known by its name only
 		}
 		alive := g.alive(now)
-		all = append(all, furrow.Member{Hello: lean(g.hello), Ready: alive && g.ready && g.left == 0, Alive: alive, Slot: slot})
+		all = append(all, furrow.Member{Hello: lean(g.hello), Ready: alive && g.ready && g.left == 0, Alive: alive, Slot: slot,
+			Silent: r.silent(g, now)})
 	}
 	if slices.Equal(all, r.last) {
 		r.spare = all
@@ -105,31 +114,61 @@
 	return all, shares, false
 }
 
+// silent is how many others count here that were there before a gate joined, and may not have heard of it.
+func (r *register) silent(g *gate, now time.Duration) (n int) {
+	if g.joined == 0 || now-g.joined >= countsFor {
+		return 0
+	}
+	for _, o := range r.gates {
+		if o != g && o.joined < g.joined && o.heard < g.joined+harvest.HeardBy && o.counts(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // lean is what others need of a gate's Hello.
 func lean(h furrow.Hello) furrow.Hello {
 	return furrow.Hello{Role: furrow.Gate, Name: h.Name, Life: h.Life, IP: h.IP, Zone: h.Zone, Region: h.Region, Front: h.Front, Peer: h.Peer}
 }
 
 // fronts are the addresses in some regions, or all where these have no gate
-// that is ready.
-func (r *register) fronts(regions []string, now time.Duration) []string {
-	var near, all []string
+// that is ready. One that has just joined is in a rising part of places' answers.
+func (r *register) fronts(regions []string, place string, now time.Duration) []string {
+	var near, all []*gate
 	for _, n := range r.names() {
 		g := r.gates[n]
 		if !g.ready || g.left > 0 || g.hello.Front == "" || !g.alive(now) {
 			continue
 		}
-		all = append(all, g.hello.Front)
+		all = append(all, g)
 		if slices.Contains(regions, g.hello.Region) {
-			near = append(near, g.hello.Front)
+			near = append(near, g)
 		}
 	}
 	if len(near) > 0 {
-		return near
+		all = near
+	}
+	young := 0
+	for _, g := range all {
+		if g.young(now) {
+			young++
+		}
 	}
-	return all
+	spared := harvest.Spared(young, len(all)-young)
+	var fronts []string
+	for _, g := range all {
+		if !spared || !g.young(now) || harvest.Risen(g.hello.Name, place, now-g.risen) {
+			fronts = append(fronts, g.hello.Front)
+		}
+	}
+	return fronts
 }
 
+// young tells whether a gate has joined and been ready for a short time only. One that comes back after a kill has
+// counted all the while, and is not.
+func (g *gate) young(now time.Duration) bool { return g.joined > 0 && now-g.risen < harvest.RiseFor }
+
 func byName(m map[string]furrow.Hello) []furrow.Hello {
 	return slices.SortedFunc(maps.Values(m), func(a, b furrow.Hello) int { return cmp.Compare(a.Name, b.Name) })
 }
--- a/internal/barn/hands.go
+++ b/internal/barn/hands.go
@@ -116,7 +116,9 @@
 			h.conn.SetSilence(furrow.Suits(p.Every))
 		}
 		if h.gen = p.Gen; g.ready != p.Ready {
-			g.ready = p.Ready
+			if g.ready = p.Ready; g.ready && g.risen == 0 {
+				g.risen = now
+			}
 			b.stirred()
 		}
 		h.held, h.sum = p.Held, p.Sum
@@ -138,6 +140,7 @@
 		} else {
 			g.grace = 0
 		}
+		g.given = g.given || *f.Leaving == furrow.Given
 		b.log.Info("gate leaves", "name", h.name, "why", *f.Leaving)
 		b.stirred()
 	}
--- a/internal/barn/http.go
+++ b/internal/barn/http.go
@@ -125,7 +125,7 @@
 				regions = homes // else every body would go from one region to the other
 			}
 		}
-		fronts := b.gates.fronts(regions, b.now())
+		fronts := b.gates.fronts(regions, q.Get(api.LookupName)+" "+q.Get(api.LookupZone), b.now())
 		b.mu.Unlock()
 		if len(fronts) == 0 {
 			refuse(w, http.StatusServiceUnavailable, errors.New("no node is ready"))
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -21,6 +21,9 @@
 // Gone is why a gate leaves that has answered its last request: its parts of quotas may be others'.
 const Gone = "gone"
 
+// Given is why a gate leaves that still answers what is out, but takes nothing in and has given its parts up.
+const Given = "given"
+
 // Frame is the one thing that goes down a connection. Whatever is nil is not in it.
 type Frame struct {
 	Hello   *Hello
@@ -141,6 +144,8 @@
 	Ready bool
 	Alive bool // heard of lately by the barn that tells
 	Slot  int  // its number among all gates ever known, the same for the name for ever
+
+	Silent int // others that count and were not heard after it had joined; 0: it may use its whole part
 }
 
 // Ask is a question of one barn to another.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,7 @@
 	"pepperfall.example/pepperfall/internal/deed"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/grove"
+	"pepperfall.example/pepperfall/internal/harvest"
 	"pepperfall.example/pepperfall/internal/node"
 	"pepperfall.example/pepperfall/internal/plot"
 	"pepperfall.example/pepperfall/internal/world"
@@ -43,7 +44,8 @@
 	h.Write([]byte(s.Self.Name))
 	b := s.Terms.Bounds
 	now := w.Now()
-	e, err := node.NewEstate(node.EstateConfig{Listen: s.Network.Listen.HTTP, Peer: s.Peer(s.Self.IP), Zone: s.Self.Zone,
+	g := &Gate{set: s, w: w, log: log, start: now, life: now.UnixNano()}
+	e, err := node.NewEstate(node.EstateConfig{Given: g.given, Listen: s.Network.Listen.HTTP, Peer: s.Peer(s.Self.IP), Zone: s.Self.Zone,
 		Region: s.Self.Region, Seed: h.Sum64() ^ uint64(now.UnixNano()), Sockets: s.Self.Limits.MaxFDs, World: w,
 		Regions: s.Network.Zones, Grace: b.Grace, Revoked: b.Revoked, Revoke: b.Revoke, RetryRatio: b.RetryRatio,
 		RetrySlack: b.RetrySlack, QuotaExcess: b.QuotaExcess, QuotaSlack: b.QuotaSlack, QuotaWindow: b.QuotaWindow, WarmupExcess: b.WarmupExcess,
@@ -51,7 +53,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gate{set: s, w: w, log: log, estate: e, start: now, life: now.UnixNano()}, nil
+	g.estate = e
+	return g, nil
 }
 
 // Run serves until leave is closed, and then until what is open is answered.
@@ -92,6 +95,15 @@
 
 func (g *Gate) now() time.Duration { return g.w.Now().Sub(g.start) }
 
+// given tells that nothing is taken in here any more, and that what was held of quotas is others'.
+func (g *Gate) given(units, of int) {
+	g.log.Info("parts given up", "units taken over", units, "of", of)
+	if c := g.conn.Load(); c != nil {
+		why := furrow.Given
+		_ = c.Send(&furrow.Frame{Leaving: &why})
+	}
+}
+
 // follow takes in what the hand says while the connection lasts.
 func (g *Gate) follow(ctx context.Context, c *furrow.Conn, _ *furrow.Hello) error {
 	g.conn.Store(c)
@@ -162,6 +174,13 @@
 	if me < 0 {
 		return // control doesn't know of this one yet
 	}
+	joined := 0
+	for _, m := range s.Gates {
+		if m.Silent > 0 {
+			joined++
+		}
+	}
+	less := harvest.Less(s.Shares, joined, s.Gates[me].Silent)
 	at, regions := make([]netip.AddrPort, 0, len(s.Gates)), make([]string, 0, len(s.Gates))
 	for _, m := range s.Gates {
 		if m.Slot < 0 || m.Slot > maxSlot {
@@ -175,7 +194,7 @@
 			at[m.Slot] = a
 		}
 	}
-	g.estate.Peers(s.Gates[me].Slot, s.Shares, at, regions)
+	g.estate.Peers(s.Gates[me].Slot, s.Shares, less, at, regions)
 }
 
 const maxSlot = 1 << 12 // proxies ever known
--- a/internal/hand/barn.go
+++ b/internal/hand/barn.go
@@ -93,6 +93,9 @@
 	if h.leaving != "" {
 		b.send(&furrow.Frame{Leaving: &h.leaving})
 	}
+	if h.gate != nil && h.gate.left != nil {
+		b.send(&furrow.Frame{Leaving: h.gate.left})
+	}
 	h.greet(b)
 	h.lead.Up(b.addr, o, h.now())
 	if !h.choose() {
--- a/internal/hand/gate.go
+++ b/internal/hand/gate.go
@@ -19,6 +19,7 @@
 	at    time.Duration // when it was
 	sent  []mark        // changes that it has not acknowledged
 	rev   uint64        // revision that is in force there; 0: none
+	left  *string       // what it said last of its leaving; nil: nothing
 }
 
 // tell sends a change under the next number.
@@ -39,6 +40,13 @@
 	old := h.gate
 	h.gate = g
 	h.meet(o)
+	if h.life != o.Life && h.life != 0 && old == nil && h.leaving == "" { // one that had left is back
+		x := h.self()
+		for _, b := range h.barns {
+			b.send(&furrow.Frame{Hello: &x})
+		}
+	}
+	h.life = o.Life
 	h.rev = max(h.rev, 1)
 	h.owed = PartsAll
 	h.settle()
@@ -110,7 +118,7 @@
 	}
 	if f.Leaving != nil {
 		h.log.Info("gate leaves", "why", *f.Leaving)
-		ready = false
+		ready, g.left = false, f.Leaving
 		for _, b := range h.barns {
 			b.send(&furrow.Frame{Leaving: f.Leaving})
 		}
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -52,6 +52,7 @@
 	barns   map[string]*barn // by address
 	gate    *gate            // nil: none is connected
 	front   string
+	life    int64  // of the last gate
 	leaving string // why it leaves; empty: it does not
 	stir    chan struct{}
 }
--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"pepperfall.example/pepperfall/internal/grove"
+	"pepperfall.example/pepperfall/internal/harvest"
 	"pepperfall.example/pepperfall/internal/plot"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
@@ -30,7 +31,7 @@
 	farZone      = 5 * time.Millisecond   // what a server of another zone is held to cost beside its latency
 	farRegion    = 250 * time.Millisecond // and of another region
 	coldPart     = 0.5
-	coldSpan     = 1150 * time.Millisecond // a second, and what sends may bunch up on their way
+	coldSpan     = harvest.ColdSpan
 	budgetPart   = 0.7                     // of the budget of further tries that is given out
 	excessPart   = 0.5                     // of what a quota may be passed by, all the time
 	idleConns    = 0.8                     // part of a server's connections that may stand idle at all edge nodes
@@ -55,6 +56,8 @@
 	QuotaWindow               time.Duration
 	WarmupExcess, WarmupSlack float64
 	ListLag                   time.Duration
+
+	Given func(units, of int) // its parts of quotas are others' from now on; so many units were taken over. nil: nobody asks
 }
 
 // Estate is an edge node of the whole system: the same loop, sockets and decisions as Node, on the system's wire,
@@ -67,6 +70,7 @@
 
 	estate *estate
 	ready  atomic.Bool
+	yields yields // the loop's
 }
 
 // NewEstate opens the sockets of an edge node of the system.
@@ -82,7 +86,7 @@
 	clk := newClock(w)
 	up := &upstream{clock: clk, network: w, limit: estateDial, idleFor: estateIdle, grace: time.Second, rest: restFor,
 		most: int(serverPart * float64(cfg.Sockets)), servers: map[policy.ServerID]*appServer{}, estate: true}
-	n := &Node{world: w, up: up, loop: newLoop(clk, g, up), stop: stopping{cfg.Grace / 2, cfg.Grace / 2, cfg.Grace - cfg.Grace/8}}
+	n := &Node{world: w, up: up, loop: newLoop(clk, g, up)}
 	n.loop.lookEvery = estateLook
 	n.server = newServer(clk, set, up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
 	e := &Estate{node: n, cfg: cfg, field: field, grove: &grove.Grove{Terms: grove.Terms{Excess: cfg.WarmupExcess,
@@ -101,6 +105,9 @@
 		return nil, err
 	}
 	n.loop.tell = n.peers.tell
+	e.yields.taker.Life = harvest.Life(max(cfg.Seed, 1))
+	n.loop.give = e.gave
+	n.peers.handed = e.handed
 	if n.listener, err = w.Listen(context.Background(), "tcp", cfg.Listen); err != nil {
 		n.closePeers()
 		return nil, errors.WithMessage(err, "listen")
@@ -129,7 +136,7 @@
 	case <-stop.Done():
 	}
 	e.ready.Store(false)
-	n.drain()
+	e.leave()
 	return nil
 }
 
@@ -206,8 +213,8 @@
 }
 
 // Peers takes over who is there: the number of this edge node, in how many parts quotas are divided, and the
-// addresses of the others by number.
-func (e *Estate) Peers(me, shares int, at []netip.AddrPort, regions []string) {
+// addresses of the others by number. Of its own parts it leaves a part unused.
+func (e *Estate) Peers(me, shares int, less float64, at []netip.AddrPort, regions []string) {
 	numbers := max(len(at), me+1, shares)
 	shares = max(shares, 1)
 	to := make([]netip.AddrPort, numbers)
@@ -217,7 +224,8 @@
 	e.estate.shares.Store(int64(shares))
 	e.in(func(l *loop) {
 		e.field.RetryCap = max(1, e.cfg.RetrySlack*budgetPart/float64(shares))
-		l.decide(policy.Peers{Me: me, Gateways: numbers, Shares: shares, Regions: regions})
+		e.yields.peers = policy.Peers{Me: me, Gateways: numbers, Shares: shares, Regions: regions, Less: less}
+		e.share(l)
 		e.members(l)
 	})
 }
--- a/internal/node/estate_test.go
+++ b/internal/node/estate_test.go
@@ -81,7 +81,7 @@
 func (r *rig) tell() {
 	r.plot()
 	r.Servers(1, r.list)
-	r.Peers(0, 1, []netip.AddrPort{{}}, nil)
+	r.Peers(0, 1, 0, []netip.AddrPort{{}}, nil)
 }
 
 func (r *rig) serve(c net.Conn, q *standin.Request) bool {
--- /dev/null
+++ b/internal/node/leave.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"pepperfall.example/pepperfall/internal/harvest"
+	"pepperfall.example/pepperfall/internal/world"
+	"pepperfall.example/pepperfall/policy"
+)
+
+// yields is how an estate's parts are given up and taken over.
+type yields struct {
+	peers  policy.Peers // as told last; Gateways 0: not told
+	stage  harvest.Stage
+	taker  harvest.Taker
+	giver  *harvest.Giver // nil: nothing is given up
+	lots   []harvest.Lot
+}
+
+// share tells the module what its parts are; it runs on the loop.
+func (e *Estate) share(l *loop) {
+	y := &e.yields
+	if y.peers.Gateways == 0 {
+		return
+	}
+	p := y.peers
+	p.Barren = y.stage >= harvest.Cool
+	if y.stage >= harvest.Shut {
+		p.Less = 1
+	}
+	l.decide(p)
+}
+
+// leave goes through the stages of a planned stop, and returns when all is answered or its time is over.
+func (e *Estate) leave() {
+	n := e.node
+	s := n.server
+	began := n.world.Now()
+	s.draining.Store(true)
+	e.in(func(*loop) { e.yields.taker.Leaving = true })
+	l := harvest.Leave{Grace: e.cfg.Grace}
+	handed := false
+	for {
+		world.Pause(n.world, stopPoll)
+		past := n.world.Now().Sub(began)
+		if past >= e.cfg.Grace/2 {
+			s.shutIdle(stopQuiet)
+		}
+		if l.Stage() == harvest.Shut && !handed {
+			handed = e.hand()
+		}
+		open, quiet := s.state()
+		stage, isNew := l.Step(past, harvest.Facts{Open: open, Quiet: quiet, Handed: handed})
+		if !isNew {
+			continue
+		}
+		if stage >= harvest.Shut {
+			n.listener.Close()
+		}
+		if stage == harvest.Ended {
+			return
+		}
+		e.in(func(l *loop) { e.enter(l, stage) })
+		if stage == harvest.Answering && e.cfg.Given != nil {
+			units, of := 0, 0
+			e.in(func(*loop) {
+				if g := e.yields.giver; g != nil {
+					units, of = g.Taken()
+				}
+			})
+			e.cfg.Given(units, of)
+		}
+	}
+}
+
+// enter does what a stage begins with; it runs on the loop.
+func (e *Estate) enter(l *loop, stage harvest.Stage) {
+	y := &e.yields
+	y.stage = stage
+	e.share(l)
+	if stage == harvest.Shut {
+		l.decide(policy.Yield{})
+		y.giver = harvest.NewGiver(y.taker.Life, y.lots, l.clock.now())
+	}
+}
+
+// hand goes on with the hand-over, and tells whether it is over.
+func (e *Estate) hand() (over bool) {
+	e.in(func(l *loop) {
+		g, now := e.yields.giver, l.clock.now()
+		for _, m := range g.Step(now) {
+			e.node.peers.tell(m.To, m.Encode())
+		}
+		over = g.Done(now)
+	})
+	return over
+}
+
+// gave notes units that the module has given up; it runs on the loop.
+func (e *Estate) gave(a policy.Give) {
+	e.yields.lots = append(e.yields.lots, harvest.Lot{Shares: []harvest.Share{{Key: a.Customer, Units: a.Units}}, Takers: a.To})
+}
+
+// handed takes in what another edge node says about what is handed over.
+func (e *Estate) handed(from int, data []byte) {
+	m := harvest.Decode(data)
+	if m == nil {
+		return
+	}
+	select {
+	case e.node.loop.events <- func() { e.hear(e.node.loop, from, m) }:
+	default: // lost, like one on the way
+	}
+}
+
+func (e *Estate) hear(l *loop, from int, m *harvest.Message) {
+	y := &e.yields
+	switch m.Kind {
+	case harvest.Will, harvest.Wont, harvest.Took, harvest.Never:
+		if y.giver != nil {
+			y.giver.Hear(from, m)
+		}
+		return
+	case harvest.Ask:
+		if !e.ready.Load() {
+			return // it does not know what there is yet
+		}
+	}
+	answer, shares := y.taker.Hear(m)
+	for _, s := range shares {
+		l.decide(policy.Given{Customer: s.Key, Units: s.Units})
+	}
+	if answer != nil {
+		e.node.peers.tell(from, answer.Encode())
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -92,6 +92,7 @@
 	tell    func(to int, data []byte)
 	mustAsk bool
 	onList  func(kind policy.MembersKind)
+	give    func(policy.Give)
 
 	lookEvery time.Duration
 
@@ -326,6 +327,10 @@
 		}
 	case policy.Watch:
 		// The list is watched from the start, asked for or not.
+	case policy.Give:
+		if l.give != nil {
+			l.give(a)
+		}
 	case policy.Log:
 		slog.Info(a.Text)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync/atomic"
 
+	"pepperfall.example/pepperfall/internal/harvest"
 	"pepperfall.example/pepperfall/internal/members"
 	"pepperfall.example/pepperfall/internal/world"
 )
@@ -25,7 +26,8 @@
 	out  chan datagram
 	hear func(from int, data []byte)
 
-	watch *watch // nil: no view of the fleet is kept
+	watch  *watch                      // nil: no view of the fleet is kept
+	handed func(from int, data []byte) // nil: nothing is handed over
 }
 
 // addresses are where the edge nodes of each number are; an address of none is not valid.
@@ -113,6 +115,8 @@
 		num, known := p.book.Load().from[addr]
 		switch {
 		case !known || n == 0 || n > mostDatagram:
+		case buf[0] == harvest.Magic && p.handed != nil:
+			p.handed(num, append([]byte(nil), buf[:n]...))
 		case buf[0] == members.Magic && p.watch != nil:
 			p.watch.hear(addr, append([]byte(nil), buf[:n]...))
 		default:
--- a/policy/api.go
+++ b/policy/api.go
@@ -221,6 +221,18 @@
 	Me, Gateways int
 	Shares       int      // in how many parts ceilings are divided; 0: as many as there are numbers
 	Regions      []string // where each is, by number; "": none has the number; no list: not known
+	Less         float64  // part of its own parts that this one must leave unused, 1 all; then cold servers are others' too
+	Barren       bool     // it sends nothing to cold servers
+}
+
+// Yield has the gateway stop to use what it holds of ceilings: it answers with a Give for each customer that has
+// units left, but for those that held requests need. It is the last but for what is held and out.
+type Yield struct{}
+
+// Given brings units that another gateway has given up.
+type Given struct {
+	Customer uint64
+	Units    uint16
 }
 
 // Action is something a gateway wants done.
@@ -261,6 +273,13 @@
 	Data []byte
 }
 
+// Give tells of units that are not used here any more, and who may have them, the best first.
+type Give struct {
+	Customer uint64
+	Units    uint16
+	To       []int
+}
+
 // Watch asks for the server list and its changes from now on.
 type Watch struct{}
 
@@ -276,6 +295,8 @@
 func (Members) event()     {}
 func (Terms) event()       {}
 func (Peers) event()       {}
+func (Yield) event()       {}
+func (Given) event()       {}
 
 func (Send) action()     {}
 func (Cancel) action()   {}
@@ -284,4 +305,5 @@
 func (SetTimer) action() {}
 func (Tell) action()     {}
 func (Watch) action()    {}
+func (Give) action()     {}
 func (Log) action()      {}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -92,7 +92,7 @@
 			rank++
 		}
 	}
-	if rank >= owners {
+	if rank >= owners || g.barren {
 		return 0
 	}
 	return int(most) / owners
--- a/policy/events.go
+++ b/policy/events.go
@@ -44,6 +44,10 @@
 		g.onTerms(ev)
 	case Peers:
 		g.onPeers(ev)
+	case Yield:
+		g.onYield()
+	case Given:
+		g.onGiven(ev)
 	}
 	out, g.acts = g.acts, nil
 	return out
--- a/policy/state.go
+++ b/policy/state.go
@@ -225,6 +225,8 @@
 	regions   []string           // there are
 	regionOf  []string           // each gateway, by number
 	parts     int                // in which ceilings are divided; 0: one each
+	less      float64            // part of its own parts that is left unused
+	barren    bool               // nothing is sent to cold servers from here
 	every     uint32             // ticks from one report to the next
 	out       int                // own attempts out, at all servers
 	strain    float64            // average of latency over aim
--- a/policy/store.go
+++ b/policy/store.go
@@ -18,7 +18,7 @@
 		part: 1, leases: map[lease]leased{}, first: first, spread: spread, at: g.now, areaAt: g.now,
 		born: g.now}
 	if g.parts > 0 {
-		c.n = float64(g.parts)
+		c.n = g.ownOf(float64(g.parts))
 	}
 	roots, deputy := g.roots(c)
 	if g.wide {
@@ -127,7 +127,7 @@
 // beyond their own. What is lent is off here before it is on there, a part never holds more than
 // its even share, and what is lost on the way is lost: all parts together stay under the ceiling.
 func (g *Gateway) lend(c *customer, dt time.Duration) {
-	if c.plan.HardRate == 0 || len(c.set) == 0 || g.tree {
+	if c.plan.HardRate == 0 || len(c.set) == 0 || g.tree || g.less >= 1 {
 		return
 	}
 	g.advance(c)
--- a/policy/terms.go
+++ b/policy/terms.go
@@ -3,6 +3,7 @@
 // Classes, plans and gateways that change while a gateway runs.
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -36,7 +37,7 @@
 func (g *Gateway) onPeers(ev Peers) {
 	g.set.Me, g.set.Gateways = ev.Me, max(1, ev.Gateways, ev.Me+1)
 	g.regionOf = ev.Regions
-	g.parts = ev.Shares
+	g.parts, g.less, g.barren = ev.Shares, ev.Less, ev.Barren || ev.Less > 0
 	g.regions = slices.Compact(slices.Sorted(slices.Values(ev.Regions)))
 	g.regions = slices.DeleteFunc(g.regions, func(r string) bool { return r == "" })
 	g.wide = g.set.Field != nil && max(g.set.Gateways, g.parts) > wideBeyond && len(g.regions) > 0
@@ -69,7 +70,7 @@
 
 // remake gives a customer's counts another number of gateways.
 func (g *Gateway) remake(c *customer) {
-	c.spread, c.n = g.set.Gateways, float64(g.shares())
+	c.spread, c.n = g.set.Gateways, g.ownOf(float64(g.shares()))
 	if g.wide {
 		g.deal(c)
 		c.set = nil
@@ -87,6 +88,55 @@
 	g.views(c, missing)
 }
 
+// ownOf is the number of parts of which one is this gateway's, where so many were without what it leaves unused.
+func (g *Gateway) ownOf(n float64) float64 { return n / max(leastPart, 1-g.less) }
+
+// onYield gives up what is held here of ceilings.
+func (g *Gateway) onYield() {
+	g.less, g.barren = 1, true
+	clear(g.budgets)
+	for _, c := range g.ring {
+		if g.advance(c); c.plan.HardRate > 0 {
+			n := max(0, math.Floor(c.ceiling-float64(len(c.held))*g.set.LargestUnits))
+			c.ceiling -= n
+			if to := g.heirs(c); n > 0 && len(to) > 0 {
+				g.do(Give{Customer: c.key, Units: uint16(min(n, math.MaxUint16)), To: to})
+			}
+		}
+		c.n = g.ownOf(float64(g.shares()))
+	}
+	for _, s := range g.fleet {
+		s.colds = 0
+	}
+}
+
+// heirs are the gateways that may take over what a customer has here: of this region, by rendezvous, as owners are.
+func (g *Gateway) heirs(c *customer) (list []int) {
+	for i, r := range g.regionOf {
+		if i != g.set.Me && g.set.Me < len(g.regionOf) && r == g.regionOf[g.set.Me] {
+			list = append(list, i)
+		}
+	}
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(mixed(c.hash, uint32(b)), mixed(c.hash, uint32(a))) })
+	return list[:min(len(list), heirsMost)]
+}
+
+const heirsMost = 3 // that are asked whether they take over
+
+// onGiven takes units over, as far as there is room: all parts together stay one whole.
+func (g *Gateway) onGiven(ev Given) {
+	c := g.customers[ev.Customer]
+	if c == nil {
+		plan := g.planOf(ev.Customer)
+		if plan == nil {
+			return
+		}
+		c = g.account(ev.Customer, plan, 0, g.set.Gateways)
+	}
+	g.advance(c)
+	c.ceiling = max(c.ceiling, min(c.plan.HardBurst/c.n-c.lent, c.ceiling+float64(ev.Units)))
+}
+
 // gone tells whether a peer's number is no peer's any more: it is this gateway's, or none's.
 func (g *Gateway) gone(p *peer) bool {
 	return p.num == g.set.Me || p.num >= g.set.Gateways || len(g.regionOf) > p.num && g.regionOf[p.num] == ""
--- a/policy/wide.go
+++ b/policy/wide.go
@@ -39,7 +39,7 @@
 	if mine {
 		part += (1 - dealt) / float64(all)
 	}
-	c.n = 1 / max(part, leastPart)
+	c.n = g.ownOf(1 / max(part, leastPart))
 }
 
 // borrow asks the customer's owners for a request's units, one after the other.
@@ -74,7 +74,7 @@
 	g.advance(c)
 	c.seen = g.now
 	answer := lent{m.Customer, m.Tag, 0}
-	if units := float64(m.Units); c.ceiling >= units {
+	if units := float64(m.Units); c.ceiling >= units && g.less < 1 {
 		c.ceiling -= units
 		answer.Units = m.Units
 	}
