--- a/internal/barn/hands_test.go
+++ b/internal/barn/hands_test.go
@@ -286,7 +286,7 @@
 		h, stop := f.helper(0, "1", furrow.Ping{Gen: 5, Held: 5, Sum: held.Sum() + 1})
 		defer stop()
 		f.pass(2*time.Second, h)
-		assert.Equal(t, string(h.last().Plot.Body), string(held.Body))
+		assert.Equal(t, string(h.news().Plot.Body), string(held.Body))
 		assert.Assert(t, !inForce(&h.ping, held))
 	})
 }
--- /dev/null
+++ b/internal/barn/join_test.go
@@ -0,0 +1,95 @@
+package barn
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/harvest"
+)
+
+// join brings a gate in that is ready at once.
+func join(r *register, name string, now time.Duration) *gate {
+	g, _ := r.see(furrow.Hello{Name: name, Life: int64(now), Front: name, Region: "r"}, now)
+	g.ready = true
+	if g.risen == 0 {
+		g.risen = now
+	}
+	return g
+}
+
+func hearAll(r *register, now time.Duration, but ...string) {
+	for _, n := range r.names() {
+		if len(but) == 0 || n != but[0] {
+			r.gates[n].heard = now
+		}
+	}
+}
+
+// One that has given its parts up counts no more from then on, whatever it says later; its next life joins anew, and
+// leaves unused what one behind a cut still holds.
+func TestGivenPartsAreOthersAtOnce(t *testing.T) {
+	r := newRegister(nil, 0)
+	at := time.Second
+	for _, n := range []string{"a", "b", "c"} {
+		join(r, n, at)
+	}
+	at += 5 * time.Second
+	hearAll(r, at)
+	g := r.gates["a"]
+	g.left, g.grace, g.given = at, 6*time.Second, true
+	_, shares, _ := r.members(at)
+	assert.Equal(t, shares, 2)
+
+	at += time.Second
+	hearAll(r, at)
+	join(r, "a", at)
+	for _, step := range []struct {
+		d      time.Duration
+		but    string
+		silent int
+	}{{0, "", 2}, {harvest.HeardBy, "c", 1}, {10 * time.Second, "c", 1}, {11 * time.Second, "", 0}} {
+		if step.d > 0 {
+			hearAll(r, at+step.d, step.but)
+		}
+		all, shares, _ := r.members(at + step.d)
+		assert.Equal(t, shares, 3)
+		assert.Equal(t, all[0].Silent, step.silent, "after %v", step.d)
+	}
+}
+
+// A gate that joins others is told of to a rising part of places; those that all began at once, and one that was
+// killed and comes back, to all at once.
+func TestJoinersRise(t *testing.T) {
+	r := newRegister(nil, 0)
+	at := time.Second
+	for _, n := range []string{"a", "b", "c", "d"} {
+		join(r, n, at)
+	}
+	told := func(name string, now time.Duration) (n int) {
+		for i := range 100 {
+			for _, f := range r.fronts([]string{"r"}, "place "+string(rune('0'+i)), now) {
+				if f == name {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	assert.Equal(t, told("b", at), 100) // a first start
+	at += 10 * time.Second
+	hearAll(r, at)
+	r.gates["b"].up = false
+	join(r, "b", at) // it was killed
+	assert.Equal(t, told("b", at), 100)
+	join(r, "e", at)
+	assert.Equal(t, told("e", at), 0)
+	hearAll(r, at+harvest.RiseFor/2)
+	half := told("e", at+harvest.RiseFor/2)
+	assert.Assert(t, half > 25 && half < 75, "%d", half)
+	hearAll(r, at+harvest.RiseFor)
+	assert.Equal(t, told("e", at+harvest.RiseFor), 100)
+	assert.Equal(t, told("a", at+harvest.RiseFor), 100)
+}
--- a/internal/barn/tell_test.go
+++ b/internal/barn/tell_test.go
@@ -101,6 +101,16 @@
 
 func (h *helper) last() furrow.Change { return h.changes[len(h.changes)-1] }
 
+// news is the last that is not of the census alone.
+func (h *helper) news() (c furrow.Change) {
+	for _, x := range h.changes {
+		if x.Servers != nil || x.Plot != nil {
+			c = x
+		}
+	}
+	return c
+}
+
 func TestOnlyLedHandsAreTold(t *testing.T) {
 	playHands(t, 3, func(f *crowd) {
 		a, b := furrow.Server{ID: "a", Capacity: 1}, furrow.Server{ID: "b", Capacity: 1}
@@ -109,7 +119,7 @@
 		other, stop := f.helper(0, "2", furrow.Ping{})
 		defer stop()
 		defer stopLed()
-		f.pass(time.Second, led, other)
+		f.pass(2*time.Second, led, other) // the second has joined, and the first has heard of it
 		assert.Assert(t, len(other.changes) == 1 && other.servers == nil && other.census == nil)
 		assert.Assert(t, led.changes[0].Servers == nil && !led.changes[1].Servers.Part && !led.changes[1].Census.Part)
 		assert.Assert(t, len(led.servers.List) == 2 && len(led.census.Gates) == 2 && led.census.Shares == 2)
@@ -121,20 +131,20 @@
 		b.Draining = true
 		f.reads(0, a, b)
 		f.pass(300*time.Millisecond, led, other)
-		assert.Assert(t, led.last().Servers.Part && len(led.last().Servers.List) == 1 && led.servers.List[1].Draining)
+		assert.Assert(t, led.news().Servers.Part && len(led.news().Servers.List) == 1 && led.servers.List[1].Draining)
 
 		// A change of lead: a whole, with what was told to others meanwhile; and back.
 		led.ping.Lead, other.ping.Lead = false, true
 		f.pass(300*time.Millisecond, led, other)
-		assert.Assert(t, !other.last().Servers.Part && other.servers.List[1].Draining)
+		assert.Assert(t, !other.news().Servers.Part && other.servers.List[1].Draining)
 		n = len(led.changes)
 		f.reads(0, a)
 		f.pass(300*time.Millisecond, led, other)
 		assert.Assert(t, len(led.changes) == n && len(other.servers.List) == 1)
-		assert.DeepEqual(t, other.last().Servers.Gone, []string{"b"})
+		assert.DeepEqual(t, other.news().Servers.Gone, []string{"b"})
 		led.ping.Lead = true
 		f.pass(300*time.Millisecond, led, other)
-		assert.Assert(t, !led.last().Servers.Part && len(led.servers.List) == 1)
+		assert.Assert(t, !led.news().Servers.Part && len(led.servers.List) == 1)
 
 		// A new connection begins with a whole.
 		_ = led.conn.Close()
@@ -156,7 +166,7 @@
 		a.Draining, b.WarmLeft = true, 2*time.Second
 		f.reads(0, a, b)
 		f.pass(time.Second, h)
-		assert.Assert(t, h.servers.List[0].Draining && len(h.last().Servers.List) == 1)
+		assert.Assert(t, h.servers.List[0].Draining && len(h.news().Servers.List) == 1)
 		a.Draining, b.WarmLeft = false, 0
 		f.reads(2, a, b) // who reads now has its own word from the first
 		f.pass(time.Second, h)
--- /dev/null
+++ b/policy/yield_test.go
@@ -0,0 +1,105 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// gives are what a gateway gives up when it is told to.
+func gives(g *Gateway, now time.Duration) (all []Give) {
+	for _, a := range g.Handle(now, Yield{}, nil) {
+		if v, ok := a.(Give); ok {
+			all = append(all, v)
+		}
+	}
+	return all
+}
+
+func allCeilings(m *meadow) (sum float64) {
+	for _, g := range m.gs {
+		if c := g.customers[keyOf("t")]; c != nil {
+			g.advance(c)
+			sum += c.ceiling
+		}
+	}
+	return sum
+}
+
+// What one that leaves gives up is off there before it is on elsewhere, it passes nothing more of it, and all parts
+// stay under the ceiling; those left have the whole again.
+func TestYieldedUnitsAreInOneHand(t *testing.T) {
+	for _, n := range []int{4, 30} {
+		m := newMeadow(n, 1, fieldServers(3, "a"), limited(40, 40))
+		m.spread(twoRegions(n))
+		m.demand(25, 20*time.Second)
+		before, leaver := allCeilings(m), 0
+		if n > wideBeyond {
+			leaver = m.gs[0].customers[keyOf("t")].near[0]
+		}
+		g := m.gs[leaver]
+		list := gives(g, m.now)
+		assert.Assert(t, len(list) == 1 && list[0].Units > 0 && len(list[0].To) > 0, "%d gateways: %v", n, list)
+		assert.Assert(t, allCeilings(m) <= before-float64(list[0].Units)+1e-6)
+		sent := len(m.sends)
+		m.gs[list[0].To[0]].Handle(m.now, Given{list[0].Customer, list[0].Units}, nil)
+		assert.Assert(t, allCeilings(m) <= before+1e-6)
+		for range 20 {
+			m.ask(leaver, Request{Customer: "t", Plan: "t", Class: "safe", Service: "a"})
+		}
+		served := 0
+		for _, s := range m.sends[sent:] {
+			if s.by == leaver {
+				served++
+			}
+		}
+		assert.Assert(t, served <= 1, "%d gateways: %d passed at one that has stopped", n, served)
+		assert.Equal(t, len(g.budgets), 0)
+	}
+}
+
+// Units for requests that are held here stay: each has its place to the end.
+func TestHeldKeepTheirUnits(t *testing.T) {
+	m := newMeadow(2, 1, fieldServers(1, "a"), limited(40, 40))
+	m.spread([]string{"r", "r"})
+	m.pass(10*time.Second, nil)
+	g := m.gs[0]
+	for _, s := range g.fleet {
+		s.Slots = 1
+	}
+	m.code = func(Send) Code { return Full }
+	for range 8 {
+		m.ask(0, Request{Customer: "t", Plan: "t", Class: "once", Service: "a"})
+	}
+	c := g.customers[keyOf("t")]
+	free := 0
+	for _, r := range c.held {
+		if !r.counted {
+			free++
+		}
+	}
+	gives(g, m.now)
+	assert.Assert(t, free > 0 && c.ceiling >= float64(free), "%v units for %d", c.ceiling, free)
+}
+
+// One that leaves sends nothing to cold servers; one that joins while others are silent takes less than its part.
+func TestPartsLeftUnused(t *testing.T) {
+	cold := fieldServers(1, "a")
+	cold[0].ColdUntil, cold[0].ColdSends = time.Hour, 20
+	m := newMeadow(3, 1, cold, limited(40, 40))
+	regions := []string{"r", "r", "r"}
+	m.spread(regions)
+	all := 0
+	for _, g := range m.gs {
+		all += g.fleet[0].colds
+	}
+	assert.Assert(t, all > 0 && all <= 20)
+	m.ask(0, Request{Customer: "t", Plan: "t", Class: "safe", Service: "a"})
+	for i := range m.gs {
+		m.do(i, Peers{Me: i, Gateways: 3, Shares: 3, Regions: regions, Less: 0.5, Barren: true})
+	}
+	g := m.gs[0]
+	assert.Equal(t, g.fleet[0].colds, 0)
+	assert.Equal(t, g.customers[keyOf("t")].n, 6.0)
+}
