--- a/internal/harvest/join.go
+++ b/internal/harvest/join.go
@@ -8,8 +8,9 @@
 
 // Times of a join.
 const (
-	RiseFor = 2 * time.Second // until a joiner is in all answers to clients
-	HeardBy = time.Second     // who is heard so long after a join has been told of it
+	HeardBy = time.Second                    // who is heard so long after a join has been told of it
+	RiseAt  = HeardBy + 250*time.Millisecond // before that a joiner may have no units: nobody is sent there
+	RiseFor = RiseAt + 1500*time.Millisecond // until it is in all answers to clients
 )
 
 // Less is the part of its share that a joiner must not use, out of so many shares. Of the others some have joined with
@@ -34,9 +35,9 @@
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
-	return float64(x)/math.MaxUint64 < float64(age)/float64(RiseFor)
+	return float64(x)/math.MaxUint64 < float64(age-RiseAt)/float64(RiseFor-RiseAt)
 }
 
-// Spared tells whether joiners may be left out of answers: those who are not young bear the load for a while. After a
-// first start, or where many were lost at once, all are told of at once.
-func Spared(young, old int) bool { return young > 0 && old >= 3*young }
+// Spared tells whether joiners may be left out of answers: those who are not young bear the load, as they did before.
+// After a first start all are told of at once.
+func Spared(young, old int) bool { return young > 0 && old >= young }
