--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -32,11 +32,11 @@
 	farRegion    = 250 * time.Millisecond // and of another region
 	coldPart     = 0.5
 	coldSpan     = harvest.ColdSpan
-	budgetPart   = 0.7                     // of the budget of further tries that is given out
-	excessPart   = 0.5                     // of what a quota may be passed by, all the time
-	idleConns    = 0.8                     // part of a server's connections that may stand idle at all edge nodes
-	startPart    = 0.4                     // and at a start
-	refusedWait  = 200 * time.Millisecond  // told to those who come before there is a configuration
+	budgetPart   = 0.7                    // of the budget of further tries that is given out
+	excessPart   = 0.5                    // of what a quota may be passed by, all the time
+	idleConns    = 0.8                    // part of a server's connections that may stand idle at all edge nodes
+	startPart    = 0.4                    // and at a start
+	refusedWait  = 200 * time.Millisecond // told to those who come before there is a configuration
 )
 
 // EstateConfig is what an edge node of the whole system is told at its start.
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -8,11 +8,11 @@
 
 // yields is how an estate's parts are given up and taken over.
 type yields struct {
-	peers  policy.Peers // as told last; Gateways 0: not told
-	stage  harvest.Stage
-	taker  harvest.Taker
-	giver  *harvest.Giver // nil: nothing is given up
-	lots   []harvest.Lot
+	peers policy.Peers // as told last; Gateways 0: not told
+	stage harvest.Stage
+	taker harvest.Taker
+	giver *harvest.Giver // nil: nothing is given up
+	lots  []harvest.Lot
 }
 
 // share tells the module what its parts are; it runs on the loop.
@@ -74,12 +74,11 @@
 // enter does what a stage begins with; it runs on the loop.
 func (e *Estate) enter(l *loop, stage harvest.Stage) {
 	y := &e.yields
-	y.stage = stage
-	e.share(l)
-	if stage == harvest.Shut {
-		l.decide(policy.Yield{})
+	if y.stage = stage; stage == harvest.Shut {
+		l.decide(policy.Yield{}) // before its parts are told to be none
 		y.giver = harvest.NewGiver(y.taker.Life, y.lots, l.clock.now())
 	}
+	e.share(l)
 }
 
 // hand goes on with the hand-over, and tells whether it is over.
--- a/policy/state.go
+++ b/policy/state.go
@@ -483,3 +483,16 @@
 	}
 	g.size = sum / float64(max(1, listed))
 }
+
+// KeyOf is the name of a customer in Give and Given.
+func KeyOf(customer string) uint64 { return keyOf(customer) }
+
+// Ceiling is what is held here of a customer's ceiling.
+func (g *Gateway) Ceiling(customer string) float64 {
+	c := g.customers[keyOf(customer)]
+	if c == nil {
+		return 0
+	}
+	g.advance(c)
+	return c.ceiling
+}
--- a/policy/terms.go
+++ b/policy/terms.go
@@ -29,7 +29,15 @@
 		g.minAim = min(g.minAim, cl.Aim.Seconds())
 	}
 	for _, c := range g.ring {
-		c.ceiling = min(c.ceiling, c.plan.HardBurst/c.n)
+		g.cap(c, c.plan.HardBurst/c.n)
+	}
+}
+
+// cap lets go of what a customer's ceiling holds beyond its part. Where all was given up, what is left is for those
+// that are held.
+func (g *Gateway) cap(c *customer, most float64) {
+	if g.less < 1 {
+		c.ceiling = min(c.ceiling, most)
 	}
 }
 
@@ -74,10 +82,10 @@
 	if g.wide {
 		g.deal(c)
 		c.set = nil
-		c.ceiling = min(c.ceiling, max(1, c.plan.HardBurst/c.n))
+		g.cap(c, max(1, c.plan.HardBurst/c.n))
 		return
 	}
-	c.ceiling = min(c.ceiling, c.plan.HardBurst/c.n)
+	g.cap(c, c.plan.HardBurst/c.n)
 	c.set = slices.DeleteFunc(c.set, func(v *peerView) bool { return g.gone(v.p) })
 	var missing []int
 	for i := range g.set.Gateways {
@@ -134,6 +142,7 @@
 		c = g.account(ev.Customer, plan, 0, g.set.Gateways)
 	}
 	g.advance(c)
+	c.seen = g.now
 	c.ceiling = max(c.ceiling, min(c.plan.HardBurst/c.n-c.lent, c.ceiling+float64(ev.Units)))
 }
 
--- a/policy/yield_test.go
+++ b/policy/yield_test.go
@@ -80,6 +80,7 @@
 		}
 	}
 	gives(g, m.now)
+	m.do(0, Peers{Me: 0, Gateways: 2, Shares: 2, Regions: []string{"r", "r"}, Less: 1, Barren: true})
 	assert.Assert(t, free > 0 && c.ceiling >= float64(free), "%v units for %d", c.ceiling, free)
 }
 
