--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -210,7 +210,7 @@
 	assert.NilError(b, err)
 	e.Plot(p)
 	e.Servers(1, []grove.Listed{{ID: "i-0", Service: "x", Address: server, Zone: "a", Slots: 400}})
-	e.Peers(0, 1, []netip.AddrPort{{}}, nil)
+	e.Peers(0, 1, 0, []netip.AddrPort{{}}, nil)
 	return e, func() {
 		stop()
 		assert.Check(b, <-ended)
--- a/internal/node/retune.go
+++ b/internal/node/retune.go
@@ -10,9 +10,6 @@
 	return grove.Terms{Excess: cfg.WarmupExcess, Slack: cfg.WarmupSlack, Lag: cfg.ListLag, Regions: cfg.Regions}
 }
 
-// stopsIn is when a planned stop takes its steps that is over in a time.
-func stopsIn(grace time.Duration) stopping { return stopping{grace / 2, grace / 2, grace - grace/8} }
-
 // freshFor is how old control's word may be for requests with a key; 0: any age.
 func freshFor(cfg *EstateConfig) time.Duration {
 	if !cfg.Revoked {
@@ -33,6 +30,7 @@
 		old := e.cfg
 		e.cfg = cfg
 		e.cfg.Listen, e.cfg.Peer, e.cfg.Zone, e.cfg.Region, e.cfg.Seed, e.cfg.Sockets, e.cfg.World = old.Listen, old.Peer, old.Zone, old.Region, old.Seed, old.Sockets, old.World
+		e.cfg.Given = old.Given
 		e.estate.freshFor.Store(int64(freshFor(&cfg)))
 		e.field.RetryEarn, e.field.RetryCap = cfg.RetryRatio*budgetPart, e.retryCap()
 		e.grove.Retell(groveTerms(&cfg))
--- a/policy/state.go
+++ b/policy/state.go
@@ -230,6 +230,8 @@
 	regions   []string           // there are
 	regionOf  []string           // each gateway, by number
 	parts     int                // in which ceilings are divided; 0: one each
+	less      float64            // part of its own parts that is left unused
+	barren    bool               // nothing is sent to cold servers from here
 	every     uint32             // ticks from one report to the next
 	out       int                // own attempts out, at all servers
 	strain    float64            // average of latency over aim
@@ -494,3 +496,16 @@
 	}
 	s.slow = math.Exp2(float64(pace)/16 - 4)
 }
+
+// KeyOf is the name of a customer in Give and Given.
+func KeyOf(customer string) uint64 { return keyOf(customer) }
+
+// Ceiling is what is held here of a customer's ceiling.
+func (g *Gateway) Ceiling(customer string) float64 {
+	c := g.customers[keyOf(customer)]
+	if c == nil {
+		return 0
+	}
+	g.advance(c)
+	return c.ceiling
+}
