Servers not heard of lately count for as busy as usual, not for idle

What a server told of its load wore off to nothing in 400 ms, and with 92 gates each hears of one every few seconds: so each went to the server it had heard nothing of for longest, all of them to all, by turns. Change: it wears off to what the servers of that service and region told in the mean. A gate then goes to servers that had room when they last answered it, which few others know.

--- a/policy/state.go
+++ b/policy/state.go
@@ -187,7 +187,9 @@
 	sends    []time.Duration          // while cold: recent sends
 	others   float64                  // out there by others, as it told itself
 	othersAt time.Duration
-	colds    int // of them allowed here
+	told     bool    // it has
+	usual    float64 // out there by others at the servers of its service and region
+	colds    int     // of the sends allowed here
 
 	weight    float64  // in the draw at hand
 	part      float64  // in all draws here, 1 in the mean over the gateways
@@ -437,6 +439,9 @@
 
 // sumLoads sums the peers' attempts out at each server; old counts are let go.
 func (g *Gateway) sumLoads() {
+	if g.set.Field != nil {
+		g.usualLoads()
+	}
 	if g.tree || g.wide {
 		return // reports tell of no servers
 	}
