--- a/policy/values.go
+++ b/policy/values.go
@@ -96,15 +96,16 @@
 	lendMost  = 2.0                    // of what a peer asks for beyond its part
 
 	// Where gateways serve many services.
-	coldLeast             = 2                      // sends a second that an owner of a cold server has at the least
-	coldKeep              = 0.9                    // part of a cold server's budget that is given out
-	crowded               = 0.15                   // what a slot in use adds to a latency, of its service time
-	wideBeyond            = 24                     // gateways from which reports from all to all are too many
-	ownersEach            = 2                      // of a customer, in each region
-	leastDealt, leastPart = 2.0, 1e-9              // units that a dealt part must hold, least part of a ceiling
-	borrowWait            = 90 * time.Millisecond  // for an owner's answer
-	toldSpan              = 400 * time.Millisecond // what a server told of its load wears off in this time
-	usualSpan             = 2 * time.Second        // what it told counts in what is usual for so long
+	coldLeast  = 2                      // sends a second that an owner of a cold server has at the least
+	coldKeep   = 0.9                    // part of a cold server's budget that is given out
+	crowded    = 0.15                   // what a slot in use adds to a latency, of its service time
+	wideBeyond = 24                     // gateways from which reports from all to all are too many
+	ownersEach = 2                      // of a customer, in each region
+	borrowWait = 90 * time.Millisecond  // for an owner's answer
+	toldSpan   = 400 * time.Millisecond // what a server told of its load wears off in this time
+	usualSpan  = 2 * time.Second        // what it told counts in what is usual for so long
+
+	leastDealt, leastPart = 2.0, 1e-9 // units that a dealt part must hold, least part of a ceiling
 
 	queueAim    = 0.5 // a server is full when the wait there passes this part of the request's aim
 	fieldTick   = 50 * time.Millisecond
