--- a/policy/events.go
+++ b/policy/events.go
@@ -313,23 +313,23 @@
 }
 
 // usualLoads takes what is usual at the servers of a service in a region: the mean of what each told last, the
-// latest first. Regions differ: what may only be done in one fills that one's.
+// latest first. Regions differ: what may only be done in one fills that one's. Where none has told anything lately
+// it wears off: else a gateway to which all seem full would send none of them anything, and hear of no change.
 func (g *Gateway) usualLoads() {
 	type group struct{ service, region string }
-	type mean struct{ sum, weight float64 }
+	type mean struct{ sum, weight, latest float64 }
 	all := map[group]mean{}
 	for _, s := range g.fleet {
 		if s.told && s.State == Running {
 			k := group{s.Service, s.Region}
 			w, m := math.Exp(-(g.now-s.othersAt).Seconds()/usualSpan.Seconds()), all[k]
-			all[k] = mean{m.sum + w*s.others, m.weight + w}
+			all[k] = mean{m.sum + w*s.others, m.weight + w, max(m.latest, w)}
 		}
 	}
 	for _, s := range g.fleet {
+		s.usual = 0
 		if m := all[group{s.Service, s.Region}]; m.weight > 0 {
-			s.usual = m.sum / m.weight
-		} else {
-			s.usual = 0
+			s.usual = m.sum / m.weight * m.latest
 		}
 	}
 }
