--- a/internal/barn/duty.go
+++ b/internal/barn/duty.go
@@ -23,7 +23,8 @@
 // Times of the list's duty.
 const (
 	leastPeriod = 500 * time.Millisecond
-	listWithin  = time.Second // of one call
+	pagePeriod  = 200 * time.Millisecond // for each page: a long list is dear to read, and a change shows 800 ms late in it
+	listWithin  = time.Second            // of one call
 	listAgain   = 200 * time.Millisecond
 	listLate    = 700 * time.Millisecond
 	rateShare   = 8 // part of the allowed rate that one caller takes at most
@@ -34,7 +35,7 @@
 	if perS <= 0 {
 		return leastPeriod
 	}
-	return max(leastPeriod, time.Duration(float64(max(pages, 1))*rateShare/perS*float64(time.Second)))
+	return max(leastPeriod, time.Duration(pages)*pagePeriod, time.Duration(float64(max(pages, 1))*rateShare/perS*float64(time.Second)))
 }
 
 // Due is when a barn of a rank reads the list, having begun to read it itself
@@ -43,5 +44,5 @@
 	if rank == 0 {
 		return asked + period
 	}
-	return max(asked+period, heard+time.Duration(1+rank)*period+listLate)
+	return max(asked+period, heard+period+time.Duration(rank)*leastPeriod+listLate)
 }
