Borrow units of the other region's owners where the near ones have none

Change: owners of the own region are asked first, then the others; what is lent is off there before it is here, as before.

--- a/policy/state.go
+++ b/policy/state.go
@@ -13,7 +13,7 @@
 	plan   *quota
 	first  int // its gateways: spread of them, counted round from first
 	spread int
-	near   []int   // its owners near here, where its ceiling is borrowed of
+	near   []int   // its owners, those near here first, where its ceiling is borrowed of
 	ask    []int   // the gateways that sum its counts, where this one does not
 	part   float64 // of what is asked for fits, as its root said
 	partAt time.Duration
--- a/policy/wide.go
+++ b/policy/wide.go
@@ -12,9 +12,8 @@
 // deal finds a customer's owners and sets its part of the ceiling here. All parts together make one
 // whole, whoever is heard: an owner takes off what it lends before the borrower has it.
 func (g *Gateway) deal(c *customer) {
-	all := 0
-	mine := false
-	c.near = nil
+	all, mine := 0, false
+	c.near = nil // those of the own region first
 	for _, region := range g.regions {
 		var list []int
 		for i, r := range g.regionOf {
@@ -28,8 +27,9 @@
 		list = list[:min(len(list), ownersEach)]
 		all, mine = all+len(list), mine || slices.Contains(list, g.set.Me)
 		if g.set.Me < len(g.regionOf) && region == g.regionOf[g.set.Me] {
-			c.near = list
+			list, c.near = append(list, c.near...), nil
 		}
+		c.near = append(c.near, list...)
 	}
 	dealt := memberPart
 	if c.plan.HardBurst*dealt/float64(g.shares()) < leastDealt {
--- a/policy/wide_test.go
+++ b/policy/wide_test.go
@@ -30,7 +30,10 @@
 }
 
 // demand lets a tenant ask at all gateways alike, and returns what part of it passes.
-func (m *meadow) demand(perS float64, d time.Duration) float64 {
+func (m *meadow) demand(perS float64, d time.Duration) float64 { return m.demandAt(1, perS, d) }
+
+// demandAt is demand at every so many of the gateways only.
+func (m *meadow) demandAt(every int, perS float64, d time.Duration) float64 {
 	asked, sent, due := 0, len(m.sends), 0.0
 	m.pass(d, func() {
 		for i, g := range m.gs {
@@ -39,7 +42,7 @@
 			}
 		}
 		for due += perS / 100; due >= 1; due-- {
-			i := m.rnd.IntN(len(m.gs))
+			i := m.rnd.IntN(len(m.gs)) / every * every
 			if m.gs[i] == nil {
 				continue
 			}
@@ -76,6 +79,15 @@
 	}
 }
 
+// What comes in by the gateways of one region finds the parts of the other's owners too.
+func TestOtherRegionsOwnersLend(t *testing.T) {
+	m := newMeadow(40, 5, fieldServers(3, "a"), limited(40, 40))
+	m.spread(twoRegions(40))
+	m.demandAt(2, 32, 5*time.Second)
+	part := m.demandAt(2, 32, 10*time.Second)
+	assert.Assert(t, part > 0.95, "%.3f passed", part)
+}
+
 // Gateways that have left take no part any more: what stays within the limit passes at the others.
 func TestPartsOfThoseWhoLeft(t *testing.T) {
 	m := newMeadow(9, 1, fieldServers(3, "a"), limited(100, 100))
