--- a/internal/barn/duty.go
+++ b/internal/barn/duty.go
@@ -11,7 +11,8 @@
 // Times of the list's duty.
 const (
 	leastPeriod = 500 * time.Millisecond
-	listWithin  = time.Second // of one call
+	pagePeriod  = 200 * time.Millisecond // for each page: a long list is dear to read, and a change shows 800 ms late in it
+	listWithin  = time.Second            // of one call
 	listAgain   = 200 * time.Millisecond
 	rateShare   = 8 // part of the allowed rate that one caller takes at most
 	mostFailed  = 2 // readings, and another takes over who has had one
@@ -22,7 +23,7 @@
 	if perS <= 0 {
 		return leastPeriod
 	}
-	return max(leastPeriod, time.Duration(float64(max(pages, 1))*rateShare/perS*float64(time.Second)))
+	return max(leastPeriod, time.Duration(pages)*pagePeriod, time.Duration(float64(max(pages, 1))*rateShare/perS*float64(time.Second)))
 }
 
 // reading is this barn's part in the reading of the list.
--- /dev/null
+++ b/internal/barn/duty_test.go
@@ -0,0 +1,25 @@
+package barn
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/steward"
+)
+
+// A long list is read less often, each page being a call, and a silent reader is still followed within 2.5 s, which
+// with the next reading stays well under the 4 s for which a draining server may be sent to there.
+func TestLongListIsReadLessOften(t *testing.T) {
+	const ms = time.Millisecond
+	assert.Equal(t, Period(1, 44), 500*ms)
+	long := Period(6, 550)
+	assert.Equal(t, long, 1200*ms)
+	self := furrow.Seat{Name: "a", Life: 1}
+	s := steward.New(listDuty, self, "z")
+	v := steward.View{Now: 20 * time.Second, Peers: []steward.Peer{{Seat: furrow.Seat{Name: "b", Life: 1}}}, Electors: 2}
+	at := s.Due(v, steward.Work{Period: long, Heard: 10 * time.Second})
+	assert.Assert(t, at > 11200*ms && at <= 12500*ms, "%s", at)
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,7 +13,7 @@
 	plan   *quota
 	first  int // its gateways: spread of them, counted round from first
 	spread int
-	near   []int   // its owners near here, where its ceiling is borrowed of
+	near   []int   // its owners, those near here first, where its ceiling is borrowed of
 	ask    []int   // the gateways that sum its counts, where this one does not
 	part   float64 // of what is asked for fits, as its root said
 	partAt time.Duration
@@ -192,7 +192,9 @@
 	sends      []time.Duration          // while cold: recent sends
 	others     float64                  // out there by others, as it told itself
 	othersAt   time.Duration
-	colds      int // of them allowed here
+	told       bool    // it has
+	usual      float64 // out there by others at the servers of its service and region
+	colds      int     // of the sends allowed here
 
 	weight    float64  // in the draw at hand
 	part      float64  // in all draws here, 1 in the mean over the gateways
@@ -444,6 +446,9 @@
 
 // sumLoads sums the peers' attempts out at each server; old counts are let go.
 func (g *Gateway) sumLoads() {
+	if g.set.Field != nil {
+		g.usualLoads()
+	}
 	if g.tree || g.wide {
 		return // reports tell of no servers
 	}
