--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -177,6 +177,7 @@
 			r.Peers(0, shares, make([]netip.AddrPort, shares), nil)
 			for range 5 {
 				assert.Equal(t, r.ask("/act/a", "").StatusCode, 503)
+				time.Sleep(20 * time.Second) // the servers are tried again
 			}
 			n = len(r.seen()) - 5
 		})
