Keep orders about zones at the gate when its hand starts anew by a barn that lags

Symptom: a gate sent to a zone that had been drained 4 s before, in a cluster of four barns: one barn was cut off, the zone drained and the configuration changed, then the gate's hand was killed and reached that one barn only. Cause: a new hand knows nothing and passes on what it hears first. The gate compared configurations with the one in force, and lists by their stamps, but took orders about zones as they came. Ruled out: the barn's own order of orders.

Change: the gate holds the highest order of each zone, by the same comparison as hands and barns, which is a method of furrow.Zone now.

--- a/internal/barn/guard_test.go
+++ b/internal/barn/guard_test.go
@@ -126,6 +126,7 @@
 			play(t, n, func(f *farm) {
 				ctx := context.Background()
 				assert.NilError(t, f.runs[0].Drain(ctx, "z0", !begin))
+				time.Sleep(time.Second) // all have it in force
 				left, right := ips(0, 1), ips(2, 3, 4)[:n-2]
 				f.cut(left, right, sim.Silent)
 				done := make(chan error, 1)
@@ -134,6 +135,12 @@
 				assert.ErrorIs(t, <-done, ErrUnsettled)
 				if n == 4 {
 					assert.ErrorIs(t, err, ErrUnsettled)
+					time.Sleep(2 * time.Second)
+					r := f.runs[3]
+					r.mu.Lock()
+					z := r.zones["z0"]
+					r.mu.Unlock()
+					assert.Equal(t, z.Drain, !begin) // a minority's order is not in force
 				}
 				f.until(6*time.Second, "order", func() bool { return n == 4 || f.runs[2].Drain(ctx, "z0", begin) == nil })
 				f.cut(left, right, sim.Open)
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -105,6 +105,14 @@
 	Drain bool   // nothing is to be sent to the zone's servers
 }
 
+// Over tells whether z is to hold in place of y of the same zone. No order has the count 0.
+func (z Zone) Over(y Zone) bool {
+	if z.Count != y.Count {
+		return z.Count > y.Count
+	}
+	return z.By > y.By
+}
+
 // Servers is the platform's list of servers. The higher Stamp holds.
 type Servers struct {
 	Stamp int64    // nanoseconds of Unix time at which its caller began to ask
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -32,9 +32,10 @@
 	start  time.Time
 	life   int64
 
-	held *furrow.Plot // in force
-	gen  atomic.Uint64
-	conn atomic.Pointer[furrow.Conn]
+	held  *furrow.Plot           // in force
+	zones map[string]furrow.Zone // orders in force: a hand that starts anew may first hear of older ones
+	gen   atomic.Uint64
+	conn  atomic.Pointer[furrow.Conn]
 }
 
 // New opens a proxy's sockets.
@@ -51,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gate{set: s, w: w, log: log, estate: e, start: now, life: now.UnixNano()}, nil
+	return &Gate{set: s, w: w, log: log, estate: e, start: now, life: now.UnixNano(), zones: map[string]furrow.Zone{}}, nil
 }
 
 // Run serves until leave is closed, and then until what is open is answered.
@@ -139,7 +140,12 @@
 	if c.Zones != nil {
 		drained := map[string]bool{}
 		for _, z := range c.Zones {
-			drained[z.Zone] = z.Drain
+			if z.Over(g.zones[z.Zone]) {
+				g.zones[z.Zone] = z
+			}
+		}
+		for name, z := range g.zones {
+			drained[name] = z.Drain
 		}
 		g.estate.Zones(drained)
 	}
--- a/internal/granary/granary_test.go
+++ b/internal/granary/granary_test.go
@@ -103,6 +103,8 @@
 		assert.ErrorIs(t, g.StorePlot(within(time.Second), plot(3)), context.Canceled)
 		assert.Assert(t, g.Plot() == nil)
 		d.Release()
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, g.Plot().Gen, uint64(5)) // the highest overtakes what waits beside it
 		assert.NilError(t, g.StorePlot(within(time.Second), plot(5)))
 		d.SetFull(true)
 		assert.ErrorContains(t, g.StorePlot(within(time.Second), plot(6)), "no space")
--- a/internal/granary/order.go
+++ b/internal/granary/order.go
@@ -20,11 +20,5 @@
 	return bytes.Compare(p.Digest[:], q.Digest[:]) > 0
 }
 
-// Over tells whether order z is to hold in place of y of the same zone. No
-// order has the count 0.
-func Over(z, y furrow.Zone) bool {
-	if z.Count != y.Count {
-		return z.Count > y.Count
-	}
-	return z.By > y.By
-}
+// Over tells whether order z is to hold in place of y of the same zone.
+func Over(z, y furrow.Zone) bool { return z.Over(y) }
--- a/internal/hand/fold.go
+++ b/internal/hand/fold.go
@@ -58,7 +58,7 @@
 		is |= PartPlot
 	}
 	for _, z := range c.Zones {
-		if old, ok := s.zones[z.Zone]; !ok || newerZone(z, old) {
+		if old, ok := s.zones[z.Zone]; !ok || z.Over(old) {
 			s.zones[z.Zone] = z
 			is |= PartZones
 		}
@@ -121,10 +121,6 @@
 	return cmp.Or(cmp.Compare(a.Gen, b.Gen), bytes.Compare(a.Digest[:], b.Digest[:])) > 0
 }
 
-func newerZone(a, b furrow.Zone) bool {
-	return cmp.Or(cmp.Compare(a.Count, b.Count), cmp.Compare(a.By, b.By)) > 0
-}
-
 // Settle puts the lead's word on who is there in force, as shares that held
 // before run out, and tells whether that changed anything.
 func (s *State) Settle(now time.Duration) bool {
--- a/internal/hand/hand_test.go
+++ b/internal/hand/hand_test.go
@@ -291,3 +291,22 @@
 		assert.Assert(t, time.Since(began) < 300*time.Millisecond)
 	})
 }
+
+// Seeds that change take nothing away: news go on by way of the barns of before, and come from the new ones.
+func TestSeedsChange(t *testing.T) {
+	play(t, func(f *field) {
+		a, b := f.barn("10.0.0.1:7600", furrow.Change{Plot: plot(1)}), f.barn("10.0.0.2:7600", furrow.Change{Plot: plot(1)})
+		h, _, _ := f.hand(a.addr)
+		g := f.gate()
+		pass(time.Second)
+		h.SetSeeds([]string{b.addr})
+		pass(time.Second)
+		b.say(furrow.Change{Plot: plot(2)})
+		pass(100 * time.Millisecond)
+		assert.Equal(t, slices.Max(g.plots()), uint64(2))
+		a.say(furrow.Change{Plot: plot(3)})
+		pass(100 * time.Millisecond)
+		assert.Equal(t, slices.Max(g.plots()), uint64(3))
+		assert.Equal(t, g.look().changes[len(g.look().changes)-1].No, uint64(len(g.look().changes))) // one connection throughout
+	})
+}
--- a/internal/orchard/config_test.go
+++ b/internal/orchard/config_test.go
@@ -77,15 +77,23 @@
 		for name, spoil := range bad {
 			w := o.Word().Clone()
 			spoil(w)
-			status := o.Operator.Refused(o.Core(o.Word().Gen%4), w.Body())
-			assert.Assert(t, status/100 == 4 && status != 408 && status != 429, "%s: %d", name, status)
+			for _, n := range o.Cores() {
+				status := o.Operator.Refused(n, w.Body())
+				assert.Assert(t, status/100 == 4 && status != 408 && status != 429, "%s: %d by %s", name, status, n.Name)
+			}
 		}
 		whole := moved(o.Word()).Body()
 		for _, body := range [][]byte{nil, []byte("{"), []byte("[]"), whole[:len(whole)-1], append(bytes.Clone(whole), whole...), bytes.Replace(whole, []byte(`"r2"`), []byte(`"2"`), 1)} {
-			status := o.Operator.Refused(o.Core(0), body)
-			assert.Equal(t, status, 400, "%.40q", body)
+			for _, n := range o.Cores() {
+				assert.Equal(t, o.Operator.Refused(n, body), 400, "%.40q by %s", body, n.Name)
+			}
+		}
+		for range 20 {
+			o.Pass(100 * time.Millisecond)
+			for _, n := range o.Edges() {
+				assert.Equal(t, n.InForce(), o.Word().Gen)
+			}
 		}
-		o.Pass(2 * time.Second)
 		status, body := o.Operator.Show(o.Core(2))
 		assert.Assert(t, status == 200 && bytes.Equal(body, o.Word().Body()))
 		o.Replace(moved(o.Word())) // under the number that bad ones had
--- a/internal/sim/conn.go
+++ b/internal/sim/conn.go
@@ -49,9 +49,8 @@
 
 // put sends bytes, or the end, on their way.
 func (p *pipe) put(x piece) {
-	latency := p.net.latencyFrom(p.from, p.to)
 	now := time.Now()
-	if at := now.Add(latency); at.After(p.arrives) {
+	if at := p.net.arrival(p.from, p.to, len(x.bytes), now); at.After(p.arrives) {
 		p.arrives = at
 	}
 	p.way = append(p.way, x)
--- a/internal/sim/machine.go
+++ b/internal/sim/machine.go
@@ -137,6 +137,44 @@
 	return d
 }
 
+// link is a machine's line to all others, in one direction.
+type link struct {
+	rate float64   // bytes a second
+	free time.Time // when it has sent, or taken in, what it was given
+}
+
+// Links narrows the lines of machines to so many bytes a second, in each direction.
+func (n *Net) Links(rate float64, ips ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, ip := range ips {
+		n.links[[2]string{ip, "out"}], n.links[[2]string{ip, "in"}] = &link{rate: rate}, &link{rate: rate}
+	}
+}
+
+// arrival is when bytes that are sent now arrive: their way, and their turn on the lines at both ends.
+func (n *Net) arrival(from, to string, bytes int, now time.Time) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	way := n.wayBetween(from, to)
+	if from == to {
+		return now.Add(way)
+	}
+	return n.links[[2]string{to, "in"}].pass(n.links[[2]string{from, "out"}].pass(now, bytes).Add(way), bytes)
+}
+
+// pass is when bytes that come at a moment are through.
+func (l *link) pass(at time.Time, bytes int) time.Time {
+	if l == nil {
+		return at
+	}
+	if l.free.After(at) {
+		at = l.free
+	}
+	l.free = at.Add(time.Duration(float64(bytes) / l.rate * float64(time.Second)))
+	return l.free
+}
+
 const loopback = 20 * time.Microsecond
 
 // tell does something at another machine once word of it has arrived there.
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -38,7 +38,8 @@
 	dark      map[string]bool       // machines without power
 	bars      map[[2]string]Barrier // between machines, one way
 	ways      func(from, to string) time.Duration
-	held      []func() // what waits for a barrier's end
+	links     map[[2]string]*link // narrow lines, by machine and direction
+	held      []func()            // what waits for a barrier's end
 	port      uint16
 }
 
@@ -46,7 +47,7 @@
 func New(seed uint64) *Net {
 	return &Net{rnd: rand.New(rand.NewPCG(seed, 0x73696d)), listeners: map[string]*listener{}, packets: map[netip.AddrPort]*packets{},
 		conns: map[*conn]string{}, silent: map[string]bool{}, port: 20000,
-		machines: map[string]*Machine{}, dark: map[string]bool{}, bars: map[[2]string]Barrier{}}
+		machines: map[string]*Machine{}, links: map[[2]string]*link{}, dark: map[string]bool{}, bars: map[[2]string]Barrier{}}
 }
 
 // Set changes what befalls the network from now on.
