--- a/internal/barn/barn_test.go
+++ b/internal/barn/barn_test.go
@@ -93,11 +93,12 @@
 func TestShownIsKept(t *testing.T) {
 	play(t, 3, func(f *farm) {
 		f.acknowledged(0, body(2, "a"))
-		f.disks[1].Hang()
-		f.disks[2].Hang()
+		f.until(time.Second, "all", func() bool { return HeadOf(f.runs[1].store.Plot()).Gen == 2 && HeadOf(f.runs[2].store.Plot()).Gen == 2 })
+		f.disks[1].SetFull(true)
+		f.disks[2].SetFull(true)
 		assert.ErrorIs(t, f.replace(0, body(3, "a")), ErrUnsettled)
-		f.disks[1].Release()
-		f.disks[2].Release()
+		f.disks[1].SetFull(false)
+		f.disks[2].SetFull(false)
 		f.shows(0, body(3, "a"))
 		f.end(0, true)
 		f.shows(1, body(3, "a"))
@@ -162,11 +163,14 @@
 			return true
 		}
 		assert.NilError(t, f.runs[0].Drain(ctx, "z0", true))
+		f.until(2*time.Second, "drained", drained)
 		for i := range 3 {
 			f.disks[i].Hang()
 		}
 		assert.ErrorIs(t, f.runs[3].Drain(ctx, "z0", false), ErrUnsettled) // on one disk only
 		f.cut(ips(3), ips(0, 1, 2), sim.Silent)
+		time.Sleep(time.Second)
+		assert.Assert(t, drained()) // nor is it in force there
 		for i := range 3 {
 			f.end(i, true)
 			f.start(i)
