Keep orders that gates rest, and a lock for who gives many, as control's own

A machine could be taken out for work only by stopping its processes: control had no word for it, nothing kept two operators apart, and nothing said when a gate's last request was answered.

Node.Rest and Node.Wake are kept as orders about zones are: the same record, files, comparison, mending and hand-over, with the subject "node/NAME", so older barns carry them too. A gate that is to rest is named by no dir, answers readyz with 503 and clients with Connection: close, and serves on. An order that would leave less than half of a zone's gates, or of all, awake is refused with 409; it is looked at again once it holds, so that two that cross at two barns can't both pass. A hand is told of its own gate's order only.

Lock.Take is soft state: a majority of the voters grants it to one token for 15 s at most; a barn that starts anew grants nothing for so long. Orders without a token, as the platform's are, never look at it.

Heads that are alike are answered without the orders.

Tests: two orders that cross, a core cut 2:2 with both sides ordered, all barns without power, a gate and all barns killed while it rests, and two who want the lock.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -33,10 +33,14 @@
 		query              []string
 		answers            []string
 	}{
-		{"ctl.yaml", ConfigReplace, "post", nil, []string{"200", "400", "413", "503"}},
+		{"ctl.yaml", ConfigReplace, "post", []string{LockToken}, []string{"200", "400", "409", "413", "503"}},
 		{"ctl.yaml", ConfigShow, "get", nil, []string{"200", "503"}},
-		{"ctl.yaml", DrainBegin + "{zone}", "post", nil, []string{"200", "404", "503"}},
-		{"ctl.yaml", DrainFinish + "{zone}", "post", nil, []string{"200", "404", "503"}},
+		{"ctl.yaml", DrainBegin + "{zone}", "post", []string{LockToken}, []string{"200", "404", "409", "503"}},
+		{"ctl.yaml", DrainFinish + "{zone}", "post", []string{LockToken}, []string{"200", "404", "409", "503"}},
+		{"ctl.yaml", NodeRest + "{node}", "post", []string{RestZone, RestAll, RestForce, LockToken}, []string{"200", "400", "404", "409", "503"}},
+		{"ctl.yaml", NodeWake + "{node}", "post", []string{LockToken}, []string{"200", "404", "409", "503"}},
+		{"ctl.yaml", LockTake, "post", nil, []string{"200", "400", "409", "503"}},
+		{"ctl.yaml", LockDrop, "post", nil, []string{"200", "400"}},
 		{"ctl.yaml", OpsStatus, "get", nil, []string{"200", "503"}},
 		{"ctl.yaml", OpsHistory, "get", nil, []string{"200", "503"}},
 		{"ctl.yaml", OpsLog, "get", []string{LogFrom}, []string{"200", "400", "503"}},
@@ -77,6 +81,10 @@
 		{"ctl.yaml", "BarnView", BarnView{}},
 		{"ctl.yaml", "GateView", GateView{}},
 		{"ctl.yaml", "ZoneOrder", ZoneOrder{}},
+		{"ctl.yaml", "Figures", Figures{}},
+		{"ctl.yaml", "LockAsk", LockAsk{}},
+		{"ctl.yaml", "NodeOrder", NodeOrder{}},
+		{"ctl.yaml", "LockView", LockView{}},
 		{"ctl.yaml", "Duty", Duty{}},
 		{"ctl.yaml", "ListView", ListView{}},
 		{"ctl.yaml", "ServersIn", ServersIn{}},
--- a/api/operators.go
+++ b/api/operators.go
@@ -11,11 +11,44 @@
 	LogFrom    = "from"
 )
 
+// The paths of ctl for orders about gates, followed by the name of one. That of NodeRest may have RestZone, RestAll and
+// RestForce in its query.
+const (
+	NodeRest  = "/-/Node.Rest/"
+	NodeWake  = "/-/Node.Wake/"
+	RestZone  = "zone"  // part of its zone's gates that has to stay awake
+	RestAll   = "all"   // and of all gates
+	RestForce = "force" // true: no matter what stays awake
+)
+
+// LeastAwake is the part of gates that has to stay awake where an order to rest names no other.
+const LeastAwake = 0.5
+
+// The paths of ctl for the lock of those who give many orders, and what carries its token in the query of an order.
+const (
+	LockTake  = "/-/Lock.Take"
+	LockDrop  = "/-/Lock.Drop"
+	LockToken = "lock"
+)
+
+// LockMost is for how long the lock is granted at most.
+const LockMost = 15 * time.Second
+
+// LockAsk asks for the lock, or lets it go.
+type LockAsk struct {
+	Token string    `json:"token"` // who asks again with it holds on
+	Who   string    `json:"who"`   // told to others
+	Since time.Time `json:"since"` // it has it, by its own clock
+	ForMS int64     `json:"for_ms"`
+}
+
 // Kinds of orders, as History tells them.
 const (
 	OrderConfig   = "Config.Replace"
 	OrderEvacuate = "Drain.Begin"
 	OrderRestore  = "Drain.Finish"
+	OrderRest     = "Node.Rest"
+	OrderWake     = "Node.Wake"
 )
 
 // Bounds of what operators are told.
@@ -47,6 +80,8 @@
 	LeftOut   int         `json:"left_out"` // gates beyond MostGates
 	Shares    int         `json:"shares"`
 	Zones     []ZoneOrder `json:"zones"`
+	Nodes     []NodeOrder `json:"nodes"`
+	Lock      LockView    `json:"lock"`
 	Duties    []Duty      `json:"duties"`
 	List      ListView    `json:"list"`
 }
@@ -82,6 +117,22 @@
 	Behind  uint64 `json:"behind"` // changes sent and not acknowledged
 	HeardMS int64  `json:"heard_ms"`
 	Lags    string `json:"lags"` // why it is behind; empty: it is not
+
+	Life    int64    `json:"life"`    // start of its hand, in nanoseconds of Unix time
+	ToRest  bool     `json:"to_rest"` // a majority holds that it is to rest
+	Rests   bool     `json:"rests"`   // it does, and would be ready else
+	Figures *Figures `json:"figures"` // nil: not told; gates begin to tell once somebody looks
+}
+
+// Figures are a gate's traffic, as it says.
+type Figures struct {
+	AgeMS   int64  `json:"age_ms"`
+	Open    int    `json:"open"`    // requests that are not answered
+	Clients int    `json:"clients"` // connections
+	SpanMS  int64  `json:"span_ms"` // over which the rest was counted
+	Served  uint32 `json:"served"`  // answered by a server, not with 5xx
+	Refused uint32 `json:"refused"` // 429 and 503
+	Failed  uint32 `json:"failed"`  // other 5xx
 }
 
 // ZoneOrder is the newest order about a zone that the barns which answer hold.
@@ -93,6 +144,22 @@
 	Confirmed bool   `json:"confirmed"` // by a majority; else some disks hold it
 }
 
+// NodeOrder is the newest order about a gate that the barns which answer hold.
+type NodeOrder struct {
+	Node      string `json:"node"`
+	Rests     bool   `json:"rests"`
+	Count     uint64 `json:"count"`
+	By        string `json:"by"`
+	Confirmed bool   `json:"confirmed"` // by a majority; else some disks hold it
+}
+
+// LockView is whom a barn has granted the lock to.
+type LockView struct {
+	Who    string    `json:"who"` // empty: nobody
+	Since  time.Time `json:"since"`
+	LeftMS int64     `json:"left_ms"` // unless it is taken again
+}
+
 // Duty is work that one barn does for all.
 type Duty struct {
 	Name   string `json:"name"`
--- a/internal/barn/census.go
+++ b/internal/barn/census.go
@@ -24,6 +24,10 @@
 	every time.Duration // between two of its hand's words; 0: as is usual
 	left  time.Duration // when it said that it leaves; 0: it did not
 	grace time.Duration // it has ended so long after that
+
+	rests     bool // it would be ready, but for the order to rest
+	figures   *furrow.Figures
+	figuresAt time.Duration
 }
 
 func (g *gate) alive(now time.Duration) bool { return g.up && now-g.heard < furrow.Patience(g.every) }
@@ -39,13 +43,14 @@
 // present then until they have been silent for long.
 type register struct {
 	gates  map[string]*gate
+	rests  map[string]bool // names of those that are to rest
 	sorted []string        // names; nil: not in order yet
 	last   []furrow.Member // as counted last; not written to again
 	spare  []furrow.Member // to count in
 }
 
 func newRegister(names []string, now time.Duration) *register {
-	r := &register{gates: map[string]*gate{}}
+	r := &register{gates: map[string]*gate{}, rests: map[string]bool{}}
 	for _, n := range names {
 		r.gates[n] = &gate{hello: furrow.Hello{Name: n}, heard: now}
 	}
@@ -116,7 +121,7 @@
 	var near, all []string
 	for _, n := range r.names() {
 		g := r.gates[n]
-		if !g.ready || g.left > 0 || g.hello.Front == "" || !g.alive(now) {
+		if !g.ready || g.left > 0 || r.rests[n] || g.hello.Front == "" || !g.alive(now) {
 			continue
 		}
 		all = append(all, g.hello.Front)
--- a/internal/barn/hands.go
+++ b/internal/barn/hands.go
@@ -40,7 +40,7 @@
 	b.mu.Lock()
 	b.hands[h] = true
 	b.arrive(*hello)
-	h.change(&furrow.Change{Zones: b.orders()}) // its first Ping tells whether it lacks the configuration
+	h.change(&furrow.Change{Zones: b.orders(h.name)}) // its first Ping tells whether it lacks the configuration
 	b.owe(h)
 	b.mu.Unlock()
 	defer func() {
@@ -119,10 +119,14 @@
 			g.ready = p.Ready
 			b.stirred()
 		}
+		g.rests = p.Rests
+		if p.Figures != nil {
+			g.figures, g.figuresAt = p.Figures, now
+		}
 		h.held, h.sum = p.Held, p.Sum
 		b.pay(h, p.Lead)
 		// Word is fresh where the newest is in force: it may still be on its way there.
-		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot)}
+		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot), Want: now < b.ops.wants}
 		if b.ever {
 			pong.Age = now - b.fresh
 		}
--- a/internal/barn/http.go
+++ b/internal/barn/http.go
@@ -6,18 +6,22 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"pepperfall.example/pepperfall/api"
+	"pepperfall.example/pepperfall/internal/furrow"
 )
 
 // Bounds of calls.
 const (
 	mostBody    = 7 << 20 // a frame has to hold it
+	mostLockAsk = 4 << 10
 	headWithin  = 3 * time.Second
 	callRead    = 10 * time.Second
 	idleWithin  = 30 * time.Second
@@ -84,24 +88,85 @@
 			finish(w, b.noted(r, path[3:len(path)-1], zone, func() error { return b.Drain(r.Context(), zone, drain) }))
 		})
 	}
+	b.nodes(m)
 	b.operators(m)
 	return m
 }
 
+// nodes adds the orders about gates, and the lock of those who give many.
+func (b *Barn) nodes(m *http.ServeMux) {
+	m.HandleFunc("POST "+api.NodeRest, func(w http.ResponseWriter, r *http.Request) {
+		name := strings.TrimPrefix(r.URL.Path, api.NodeRest)
+		finish(w, b.noted(r, api.OrderRest, name, func() error {
+			least, err := floorOf(r.URL.Query())
+			if err != nil {
+				return Invalid{err}
+			}
+			return b.Rest(r.Context(), name, least)
+		}))
+	})
+	m.HandleFunc("POST "+api.NodeWake, func(w http.ResponseWriter, r *http.Request) {
+		name := strings.TrimPrefix(r.URL.Path, api.NodeWake)
+		finish(w, b.noted(r, api.OrderWake, name, func() error { return b.Wake(r.Context(), name) }))
+	})
+	for path, take := range map[string]bool{api.LockTake: true, api.LockDrop: false} {
+		m.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+			var ask api.LockAsk
+			err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostLockAsk)).Decode(&ask)
+			if err != nil || ask.Token == "" || take && (ask.Who == "" || ask.ForMS <= 0) {
+				refuse(w, http.StatusBadRequest, errors.New("not the form of a lock"))
+				return
+			}
+			want := furrow.Lock{Token: ask.Token, Who: ask.Who, Since: ask.Since.UnixNano()}
+			if take {
+				want.For = time.Duration(ask.ForMS) * time.Millisecond
+			}
+			finish(w, b.Lock(r.Context(), want))
+		})
+	}
+}
+
+// floorOf reads what has to stay awake.
+func floorOf(q url.Values) (Floor, error) {
+	least := Floor{Zone: api.LeastAwake, All: api.LeastAwake, Force: q.Get(api.RestForce) == "true"}
+	for name, to := range map[string]*float64{api.RestZone: &least.Zone, api.RestAll: &least.All} {
+		text := q.Get(name)
+		if text == "" {
+			continue
+		}
+		part, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(part >= 0 && part <= 1) {
+			return least, errors.Errorf("%s: %q is no part from 0 to 1", name, text)
+		}
+		*to = part
+	}
+	return least, nil
+}
+
 // finish answers an order.
 func finish(w http.ResponseWriter, err error) {
+	if err != nil {
+		refuse(w, statusOf(err), err)
+		return
+	}
+	w.Header().Set("Content-Type", jsonType)
+	_, _ = io.WriteString(w, "{}\n")
+}
+
+// statusOf is the answer to an order that did not go through; 503: it may be in force or may not.
+func statusOf(err error) int {
 	var invalid Invalid
+	var tight Tight
+	var taken Taken
 	switch {
-	case err == nil:
-		w.Header().Set("Content-Type", jsonType)
-		_, _ = io.WriteString(w, "{}\n")
 	case errors.As(err, &invalid):
-		refuse(w, http.StatusBadRequest, err)
-	case errors.Is(err, ErrZone):
-		refuse(w, http.StatusNotFound, err)
-	default:
-		refuse(w, http.StatusServiceUnavailable, err)
+		return http.StatusBadRequest
+	case errors.Is(err, ErrZone), errors.Is(err, ErrNode):
+		return http.StatusNotFound
+	case errors.As(err, &tight), errors.As(err, &taken):
+		return http.StatusConflict
 	}
+	return http.StatusServiceUnavailable
 }
 
 func refuse(w http.ResponseWriter, status int, err error) {
--- a/internal/barn/operators.go
+++ b/internal/barn/operators.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	mostLooking = 4  // calls of operators at once
-	mostWhat    = 64 // bytes of a version or a zone in the history
+	mostLooking = 4                       // calls of operators at once
+	mostWhat    = 64                      // bytes of a version, a zone or a gate in the history
+	wantsFor    = 10 * time.Second        // after a look gates tell their figures
+	figuresFor  = 3500 * time.Millisecond // then they are told no more
 )
 
 // ops is what operators are told. Nothing of it runs while nobody asks.
@@ -29,6 +31,8 @@
 	orders []api.Order // a ring
 	next   uint64
 	note   func(api.Order) // writes one down; nil: nobody does
+	lease  lease
+	wants  time.Duration // until when figures of gates are wanted
 }
 
 var errBusy = errors.New("too many operators look at once")
@@ -74,11 +78,13 @@
 // noted carries an order out and keeps what became of it.
 func (b *Barn) noted(r *http.Request, kind, what string, order func() error) error {
 	began, at := b.now(), b.w.Now()
-	err := order()
+	err := b.locked(r.URL.Query().Get(api.LockToken))
+	if err == nil {
+		err = order()
+	}
 	o := api.Order{At: at.UTC(), Kind: kind, What: what[:min(len(what), mostWhat)], From: r.RemoteAddr, TookMS: (b.now() - began).Milliseconds(), End: "acknowledged"}
 	if err != nil {
-		var invalid Invalid
-		if o.End, o.Why = "unclear", err.Error(); errors.As(err, &invalid) || errors.Is(err, ErrZone) {
+		if o.End, o.Why = "unclear", err.Error(); statusOf(err) != http.StatusServiceUnavailable {
 			o.End = "refused"
 		}
 		o.Why = o.Why[:min(len(o.Why), api.MostLine)]
@@ -162,10 +168,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now, mine := b.now(), b.mine()
+	b.ops.wants = now + wantsFor
 	s := &api.Status{Barn: b.self.Name, Zone: b.self.Zone, Region: b.self.Region, At: b.w.Now().UTC(), UpMS: now.Milliseconds(),
 		Voter: b.self.Voter, Vouches: b.vouches, Leaving: b.leaving, Voters: c.N, Majority: Majority(c.N),
 		Held: version(mine.Head), Confirmed: version(HeadOf(b.plot)), FreshMS: -1,
-		Barns: []api.BarnView{}, Gates: []api.GateView{}, Zones: []api.ZoneOrder{}}
+		Barns: []api.BarnView{}, Gates: []api.GateView{}, Zones: []api.ZoneOrder{}, Nodes: []api.NodeOrder{}}
 	if b.ever {
 		s.FreshMS = (now - b.fresh).Milliseconds()
 	}
@@ -180,14 +187,21 @@
 	}
 	b.gatesTo(s, now)
 	newest := c.NewestZones()
-	for _, z := range append(mine.Zones, b.orders()...) {
+	for _, z := range append(mine.Zones, slices.Collect(maps.Values(b.zones))...) {
 		if granary.Over(z, newest[z.Zone]) {
 			newest[z.Zone] = z
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(newest)) {
 		z := newest[name]
-		s.Zones = append(s.Zones, api.ZoneOrder{Zone: name, Drained: z.Drain, Count: z.Count, By: z.By, Confirmed: b.zones[name] == z})
+		if node, is := z.Node(); is {
+			s.Nodes = append(s.Nodes, api.NodeOrder{Node: node, Rests: z.Drain, Count: z.Count, By: z.By, Confirmed: b.zones[name] == z})
+		} else {
+			s.Zones = append(s.Zones, api.ZoneOrder{Zone: name, Drained: z.Drain, Count: z.Count, By: z.By, Confirmed: b.zones[name] == z})
+		}
+	}
+	if l := b.ops.lease; l.until > now {
+		s.Lock = api.LockView{Who: l.lock.Who, Since: time.Unix(0, l.lock.Since).UTC(), LeftMS: (l.until - now).Milliseconds()}
 	}
 	s.Duties = []api.Duty{{Name: listDuty, Holder: b.holder(), Rank: b.rank()}}
 	s.List = b.listView(now)
@@ -216,6 +230,11 @@
 		v := api.GateView{Name: n, Zone: g.hello.Zone, Region: g.hello.Region, Front: g.hello.Front, Alive: g.alive(now),
 			HeardMS: (now - g.heard).Milliseconds()}
 		v.Ready = v.Alive && g.ready && g.left == 0
+		v.Life, v.ToRest, v.Rests = g.hello.Life, b.gates.rests[n], v.Alive && g.rests && g.left == 0
+		if f := g.figures; f != nil && v.Alive && now-g.figuresAt < figuresFor {
+			v.Figures = &api.Figures{AgeMS: (now - g.figuresAt).Milliseconds(), Open: f.Open, Clients: f.Clients, SpanMS: f.Span.Milliseconds(),
+				Served: f.Served, Refused: f.Refused, Failed: f.Failed}
+		}
 		if h := hands[n]; h != nil {
 			v.Linked, v.Behind = true, h.no-h.ack
 			if h.gen > 0 {
--- /dev/null
+++ b/internal/barn/rest_test.go
@@ -0,0 +1,174 @@
+package barn
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/api"
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/sim"
+)
+
+var half = Floor{Zone: 0.5, All: 0.5}
+
+// gates are hands of four gates in one zone, each connected to all barns.
+func (f *farm) gates() (stop func()) {
+	var all []*farmhand
+	for _, n := range []string{"1", "2", "3", "4"} {
+		for i := range f.runs {
+			all = append(all, f.hand(n, i))
+		}
+	}
+	f.until(5*time.Second, "gates", func() bool {
+		s := f.runs[len(f.runs)-1].Status(context.Background())
+		return len(s.Gates) == 4 && !slices.ContainsFunc(s.Gates, func(g api.GateView) bool { return !g.Ready })
+	})
+	return func() {
+		for _, h := range all {
+			h.stop()
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func (f *farm) resting(i int) (n int) {
+	for _, o := range f.runs[i].Status(context.Background()).Nodes {
+		if o.Rests {
+			n++
+		}
+	}
+	return n
+}
+
+// An order to rest that leaves too few awake is refused, by itself and where two cross at two barns.
+func TestTooFewAwake(t *testing.T) {
+	play(t, 3, func(f *farm) {
+		f.acknowledged(0, body(1, "a"))
+		defer f.gates()()
+		ctx := context.Background()
+		var tight Tight
+		assert.NilError(t, f.runs[0].Rest(ctx, "gate-1", half))
+		assert.NilError(t, f.runs[1].Rest(ctx, "gate-1", half)) // it rests already
+		ends := make(chan error, 2)
+		for i, n := range []string{"gate-2", "gate-3"} {
+			go func() { ends <- f.runs[i].Rest(ctx, n, half) }()
+		}
+		a, b := <-ends, <-ends
+		assert.Assert(t, errors.As(a, &tight) || errors.As(b, &tight), "%v, %v", a, b)
+		assert.Assert(t, f.resting(2) <= 2)
+		if f.resting(2) < 2 {
+			assert.NilError(t, f.runs[0].Rest(ctx, "gate-2", half))
+		}
+		err := f.runs[0].Rest(ctx, "gate-4", half)
+		assert.Assert(t, errors.As(err, &tight), "%v", err)
+		assert.Error(t, err, "1 of 4 gates of all would stay awake, and 0.5 of them have to")
+		assert.NilError(t, f.runs[0].Rest(ctx, "gate-4", Floor{Force: true}))
+		assert.Assert(t, errors.Is(f.runs[0].Rest(ctx, "gate-9", half), ErrNode))
+		assert.Assert(t, errors.Is(f.runs[0].Wake(ctx, "gate-9"), ErrNode))
+		assert.NilError(t, f.runs[0].Rest(ctx, "gate-9", Floor{Force: true})) // it is yet to come
+		assert.NilError(t, f.runs[1].Wake(ctx, "gate-9"))
+		url := "http://" + ip(0) + ":8200" + api.NodeRest
+		for path, want := range map[string]int{"gate-1?zone=2": 400, "a%20b": 400, "gate-8": 404, "gate-1": 200, "gate-1?lock=x": 200} {
+			status, text := f.call("POST", url+path, nil)
+			assert.Equal(t, status, want, "%s: %s", path, text)
+		}
+	})
+}
+
+// Both sides of a core that is cut in half are ordered; neither acknowledges, and what holds later is one word.
+func TestRestInHalves(t *testing.T) {
+	play(t, 4, func(f *farm) {
+		f.acknowledged(0, body(1, "a"))
+		defer f.gates()()
+		ctx := context.Background()
+		assert.NilError(t, f.runs[0].Rest(ctx, "gate-1", half))
+		f.cut(ips(0, 1), ips(2, 3), sim.Silent)
+		assert.Assert(t, f.runs[0].Rest(ctx, "gate-2", half) != nil)
+		assert.Assert(t, f.runs[3].Wake(ctx, "gate-1") != nil)
+		assert.Assert(t, f.runs[0].Lock(ctx, furrow.Lock{Token: "a", Who: "ana", For: time.Second}) != nil)
+		assert.Assert(t, f.runs[3].Lock(ctx, furrow.Lock{Token: "b", Who: "ben", For: time.Second}) != nil)
+		time.Sleep(2 * time.Second)
+		f.cut(ips(0, 1), ips(2, 3), sim.Open)
+		same := func() bool {
+			want := f.runs[0].Status(ctx).Nodes
+			for _, r := range f.runs {
+				for i, o := range r.Status(ctx).Nodes {
+					if len(want) <= i || o != want[i] || !o.Confirmed {
+						return false
+					}
+				}
+			}
+			return len(want) > 0
+		}
+		f.until(5*time.Second, "agree", same)
+		assert.NilError(t, f.runs[2].Wake(ctx, "gate-1"))
+		assert.NilError(t, f.runs[2].Wake(ctx, "gate-2"))
+		f.until(2*time.Second, "agree", same)
+		assert.Equal(t, f.resting(1), 0)
+	})
+}
+
+// An order to rest outlives the power of all barns; heads that are alike are told in a few bytes.
+func TestRestOutlivesBarns(t *testing.T) {
+	play(t, 3, func(f *farm) {
+		f.acknowledged(0, body(1, "a"))
+		defer f.gates()()
+		assert.NilError(t, f.runs[0].Rest(context.Background(), "gate-2", half))
+		f.endAll(true)
+		time.Sleep(time.Second)
+		f.startAll()
+		f.until(5*time.Second, "know", func() bool {
+			s := f.runs[2].Status(context.Background())
+			return len(s.Gates) == 4 && s.Gates[1].ToRest && !slices.ContainsFunc(s.Gates, func(g api.GateView) bool { return !g.Ready })
+		})
+		assert.Assert(t, f.runs[0].gates.rests["gate-2"])
+		_, text := f.call("GET", "http://"+ip(2)+":8209"+api.DirLookup, nil)
+		assert.Equal(t, text, "{\"addr_list\":[\"10.1.0.1:80\",\"10.1.0.3:80\",\"10.1.0.4:80\"],\"ttl_s\":1}\n")
+		zones := f.runs[0].store.Zones()
+		r := f.runs[1].reply(&furrow.Ask{Head: true, Sum: furrow.SumOf(zones)}, nil)
+		assert.Assert(t, r.Same && r.Zones == nil)
+		zones[0].Count++
+		r = f.runs[1].reply(&furrow.Ask{Head: true, Sum: furrow.SumOf(zones)}, nil)
+		assert.Assert(t, !r.Same && len(r.Zones) == 1)
+	})
+}
+
+// The lock is one token's at a time, is forgotten by itself, and not by a barn that starts anew.
+func TestLock(t *testing.T) {
+	play(t, 3, func(f *farm) {
+		ctx := context.Background()
+		lock := func(i int, token string, d time.Duration) error {
+			return f.runs[i].Lock(ctx, furrow.Lock{Token: token, Who: token, Since: time.Now().UnixNano(), For: d})
+		}
+		var taken Taken
+		assert.NilError(t, lock(0, "ana", 15*time.Second))
+		err := lock(2, "ben", 15*time.Second)
+		assert.Assert(t, errors.As(err, &taken) && taken.Who == "ana" && taken.Token == "", "%v", err)
+		url := "http://" + ip(1) + ":8200" + api.DrainBegin + "z1?lock="
+		status, text := f.call("POST", url+"ben", nil)
+		assert.Equal(t, status, 409, text)
+		status, _ = f.call("POST", url+"ana", nil)
+		assert.Equal(t, status, 200)
+		time.Sleep(10 * time.Second)
+		assert.NilError(t, lock(1, "ana", 15*time.Second)) // through another barn
+		f.endAll(true)
+		f.startAll()
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, lock(0, "ben", 15*time.Second) != nil) // nobody knows whether ana still holds it
+		f.until(20*time.Second, "grant", func() bool { return lock(0, "ben", 15*time.Second) == nil })
+		assert.NilError(t, lock(0, "ben", 0))
+		assert.NilError(t, lock(1, "ana", time.Second))
+		time.Sleep(1100 * time.Millisecond)
+		ends := make(chan error, 2)
+		for i, n := range []string{"cleo", "dan"} {
+			go func() { ends <- lock(i, n, time.Second) }()
+		}
+		a, b := <-ends, <-ends
+		assert.Assert(t, a != nil || b != nil)
+	})
+}
--- a/internal/barn/round.go
+++ b/internal/barn/round.go
@@ -249,16 +249,24 @@
 		return
 	}
 	b.zones[z.Zone] = z
-	b.log.Info("order about a zone in force", "zone", z.Zone, "drain", z.Drain, "count", z.Count)
+	b.log.Info("order in force", "about", z.Zone, "drain", z.Drain, "count", z.Count)
+	node, is := z.Node()
+	if is {
+		b.gates.rest(node, z.Drain)
+	}
 	for h := range b.hands {
-		h.change(&furrow.Change{Zones: b.orders()})
+		if !is || h.name == node {
+			h.change(&furrow.Change{Zones: b.orders(h.name)})
+		}
 	}
 }
 
-// orders are all confirmed ones; the mutex is held.
-func (b *Barn) orders() (all []furrow.Zone) {
+// orders are the confirmed ones that concern a gate; the mutex is held.
+func (b *Barn) orders(gate string) (all []furrow.Zone) {
 	for _, name := range slices.Sorted(maps.Keys(b.zones)) {
-		all = append(all, b.zones[name])
+		if node, is := b.zones[name].Node(); !is || node == gate {
+			all = append(all, b.zones[name])
+		}
 	}
 	return all
 }
--- a/internal/barn/word.go
+++ b/internal/barn/word.go
@@ -25,6 +25,7 @@
 	ErrUnsettled = errors.New("no majority of control answers")
 	ErrNothing   = errors.New("there is no configuration")
 	ErrZone      = errors.New("no such zone")
+	ErrNode      = errors.New("no such gate is known")
 	ErrLeaving   = errors.New("this node ends")
 )
 
@@ -79,12 +80,23 @@
 	}
 	ctx, cancel := b.within(ctx, callWithin)
 	defer cancel()
+	return b.order(ctx, zone, drain, nil)
+}
+
+// order brings the next order about a zone or node, where the orders held allow it.
+func (b *Barn) order(ctx context.Context, subject string, drain bool, allows func(held map[string]furrow.Zone) error) error {
 	c := b.heads(ctx, Count.Enough)
 	if !c.Enough() || ctx.Err() != nil { // a caller who has gone has given up the order
 		return ErrUnsettled
 	}
-	newest := c.NewestZones()[zone]
-	newest.Zone = zone
+	held := c.NewestZones()
+	if allows != nil {
+		if err := allows(held); err != nil {
+			return err
+		}
+	}
+	newest := held[subject]
+	newest.Zone = subject
 	return b.bringZone(ctx, Next(newest, b.self.Name, drain, b.w.Now().UnixMilli()), c.Words)
 }
 
@@ -136,8 +148,10 @@
 	if b.self.Voter {
 		c.Words[b.self.Name] = b.mine()
 	}
+	mine := b.store.Zones()
+	sum := furrow.SumOf(mine)
 	for name := range b.links {
-		p.ask(name, furrow.Ask{Head: true})
+		p.ask(name, furrow.Ask{Head: true, Sum: sum})
 	}
 	b.mu.Unlock()
 	for left := p.out; ; left-- {
@@ -151,6 +165,9 @@
 		select {
 		case a := <-p.answers:
 			if a.reply != nil && names[a.from] {
+				if a.reply.Same {
+					a.reply.Zones = mine
+				}
 				c.Words[a.from] = Word{a.reply.Vouches, Head{a.reply.Gen, a.reply.Digest}, a.reply.Zones}
 				told[a.from] = a.told
 			}
@@ -264,6 +281,10 @@
 
 // answer answers another barn's question.
 func (b *Barn) answer(ctx context.Context, l *link, a *furrow.Ask) {
+	if a.Lock != nil {
+		_ = l.conn.Send(&furrow.Frame{Reply: b.grant(a)})
+		return
+	}
 	if a.Store == nil && a.Zone == nil {
 		_ = l.conn.Send(&furrow.Frame{Reply: b.reply(a, nil)})
 		return
@@ -290,6 +311,9 @@
 	w := b.mine()
 	b.mu.Unlock()
 	r := &furrow.Reply{ID: a.ID, Vouches: w.Vouches, Stored: err == nil && (a.Store != nil || a.Zone != nil), Gen: w.Head.Gen, Digest: w.Head.Digest, Zones: w.Zones}
+	if a.Head && a.Sum != 0 && furrow.SumOf(r.Zones) == a.Sum {
+		r.Zones, r.Same = nil, true
+	}
 	if a.Fetch {
 		r.Plot = b.store.Plot()
 	}
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -52,13 +52,15 @@
 
 // Ping asks for a Pong. Sent is the asker's own steady clock and means nothing to the other.
 type Ping struct {
-	Sent  time.Duration
-	Ready bool          // hand to barn: its gate is ready for clients
-	Gen   uint64        // the version in force at the gate; 0: none
-	Held  uint64        // hand to barn: the version that the hand holds; 0: none
-	Sum   uint32        // hand to barn: that version's Sum, as two texts may have one number
-	Lead  bool          // hand to barn: tell me servers and the census, until a Ping says otherwise
-	Every time.Duration // hand to barn: the next Ping comes after so long; 0: as is usual
+	Sent    time.Duration
+	Ready   bool          // hand to barn: its gate is ready for clients
+	Gen     uint64        // the version in force at the gate; 0: none
+	Held    uint64        // hand to barn: the version that the hand holds; 0: none
+	Sum     uint32        // hand to barn: that version's Sum, as two texts may have one number
+	Lead    bool          // hand to barn: tell me servers and the census, until a Ping says otherwise
+	Every   time.Duration // hand to barn: the next Ping comes after so long; 0: as is usual
+	Rests   bool          // the gate would be ready, but for the order to rest
+	Figures *Figures      // gate to hand, and to a barn that wants them
 }
 
 // Pong answers a Ping. What it tells holds at the moment it was sent, which is
@@ -67,6 +69,7 @@
 	Sent  time.Duration // the Ping's
 	Age   time.Duration // how long ago, before this Pong was sent, a majority of the core was asked that confirmed what is held
 	Fresh bool          // whether one ever did
+	Want  bool          // figures are wanted in the next Pings
 }
 
 // Change is numbered news. Numbers rise by one on each connection; parts that
@@ -97,12 +100,12 @@
 // Sum tells texts of one number from each other, in few bytes.
 func (p *Plot) Sum() uint32 { return binary.BigEndian.Uint32(p.Digest[:4]) }
 
-// Zone is an order about a zone. The higher Count holds; among equal ones the higher By.
+// Zone is an order about a zone, or about a node (OfNode). The higher Count holds; among equal ones the higher By.
 type Zone struct {
 	Zone  string
 	Count uint64
 	By    string // the barn that gave the order its number
-	Drain bool   // nothing is to be sent to the zone's servers
+	Drain bool   // nothing is to be sent to the zone's servers; of a node: it rests
 }
 
 // Servers is the platform's list of servers. The higher Stamp holds.
@@ -146,10 +149,12 @@
 // Ask is a question of one barn to another.
 type Ask struct {
 	ID    uint64
-	Head  bool  // what do you hold? (heads only)
-	Fetch bool  // send the whole word
-	Store *Plot // keep this, synced, unless you hold a higher one
-	Zone  *Zone // keep this, synced, unless you hold a higher one
+	Head  bool   // what do you hold? (heads only)
+	Fetch bool   // send the whole word
+	Store *Plot  // keep this, synced, unless you hold a higher one
+	Zone  *Zone  // keep this, synced, unless you hold a higher one
+	Sum   uint64 // with Head: of the orders that the asker holds; 0: none
+	Lock  *Lock  // grant this, or let it go
 }
 
 // Reply answers an Ask.
@@ -160,6 +165,8 @@
 	Gen     uint64 // of the plot held; 0: none
 	Digest  [32]byte
 	Zones   []Zone // all orders held
+	Same    bool   // they are those that the asker holds, and left out
+	Lock    *Lock  // whoever holds it in place of the asker
 	Plot    *Plot  // on Fetch
 	Err     string // why not, in words
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -116,7 +116,9 @@
 }
 
 func (g *Gate) beat(c *furrow.Conn) error {
-	return c.Send(&furrow.Frame{Ping: &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Gen: g.gen.Load()}})
+	f := g.estate.Figures()
+	return c.Send(&furrow.Frame{Ping: &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(),
+		Figures: (*furrow.Figures)(&f)}})
 }
 
 func (g *Gate) ping(ctx context.Context, c *furrow.Conn) {
@@ -137,10 +139,15 @@
 		}
 	}
 	if c.Zones != nil {
-		drained := map[string]bool{}
+		drained, rest := map[string]bool{}, false
 		for _, z := range c.Zones {
-			drained[z.Zone] = z.Drain
+			if node, is := z.Node(); !is {
+				drained[z.Zone] = z.Drain
+			} else if node == g.set.Self.Name {
+				rest = z.Drain
+			}
 		}
+		g.estate.Rest(rest)
 		g.estate.Zones(drained)
 	}
 	if s := c.Servers; s != nil && s.List != nil {
--- a/internal/hand/barn.go
+++ b/internal/hand/barn.go
@@ -39,6 +39,7 @@
 	marks  []mark        // its changes that are not acknowledged
 	spoke  bool          // it has sent a change on this connection
 	every  time.Duration // as told last
+	wants  bool          // figures, as it said last
 
 	servers *furrow.Servers // as told on this connection
 	census  *furrow.Census
@@ -89,7 +90,7 @@
 		return errors.Errorf("hand: %s at %s is no barn but %q", o.Name, b.addr, o.Role)
 	}
 	h.mu.Lock()
-	b.conn, b.marks, b.spoke, b.every, b.servers, b.census = c, nil, false, 0, nil, nil
+	b.conn, b.marks, b.spoke, b.every, b.wants, b.servers, b.census = c, nil, false, 0, false, nil, nil
 	if h.leaving != "" {
 		b.send(&furrow.Frame{Leaving: &h.leaving})
 	}
@@ -144,6 +145,9 @@
 		b.marks = put(b.marks, mark{c.No, h.rev})
 		h.acknowledge(b)
 	}
+	if f.Pong != nil {
+		b.wants = f.Pong.Want
+	}
 	if f.Pong != nil && b.spoke { // it vouches for what was sent before it
 		h.fresh.Take(f.Pong, now)
 	}
@@ -221,7 +225,10 @@
 	p := &furrow.Ping{Sent: h.now(), Lead: b.addr == h.lead.Chosen(), Every: h.lead.Every(b.addr)}
 	p.Held, p.Sum = h.state.Held()
 	if h.gate != nil {
-		p.Ready, p.Gen = h.gate.ready, h.gate.gen
+		p.Ready, p.Gen, p.Rests = h.gate.ready, h.gate.gen, h.gate.rests
+		if b.wants {
+			p.Figures = h.gate.figures
+		}
 	}
 	if b.conn != nil && b.every != p.Every {
 		b.every = p.Every
--- a/internal/hand/gate.go
+++ b/internal/hand/gate.go
@@ -12,13 +12,15 @@
 // gate is the one beside the hand while it is connected; all under the hand's
 // mutex.
 type gate struct {
-	conn  *furrow.Conn
-	ready bool
-	gen   uint64        // in force there; 0: none
-	no    uint64        // of the last change sent
-	at    time.Duration // when it was
-	sent  []mark        // changes that it has not acknowledged
-	rev   uint64        // revision that is in force there; 0: none
+	conn    *furrow.Conn
+	ready   bool
+	rests   bool // it would be, but for the order to rest
+	figures *furrow.Figures
+	gen     uint64        // in force there; 0: none
+	no      uint64        // of the last change sent
+	at      time.Duration // when it was
+	sent    []mark        // changes that it has not acknowledged
+	rev     uint64        // revision that is in force there; 0: none
 }
 
 // tell sends a change under the next number.
@@ -103,20 +105,20 @@
 			h.acknowledge(b)
 		}
 	}
-	ready := g.ready
+	ready, rests := g.ready, g.rests
 	if p := f.Ping; p != nil {
-		ready, g.gen = p.Ready, max(g.gen, p.Gen)
+		ready, rests, g.gen, g.figures = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures
 		_ = g.conn.Send(&furrow.Frame{Pong: h.fresh.Pong(p.Sent, h.now())})
 	}
 	if f.Leaving != nil {
 		h.log.Info("gate leaves", "why", *f.Leaving)
-		ready = false
+		ready, rests = false, false
 		for _, b := range h.barns {
 			b.send(&furrow.Frame{Leaving: f.Leaving})
 		}
 	}
-	if ready != g.ready {
-		g.ready = ready
+	if ready != g.ready || rests != g.rests {
+		g.ready, g.rests = ready, rests
 		h.ping()
 	}
 }
--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -135,10 +135,18 @@
 
 // Ready tells whether it may be found by clients: it knows configuration, servers and peers, its word is fresh, and
 // it does not stop.
-func (e *Estate) Ready() bool {
+func (e *Estate) Ready() bool { return e.well() && !e.node.server.resting.Load() }
+
+// Rests tells whether it would be ready, but for the order to rest.
+func (e *Estate) Rests() bool { return e.well() && e.node.server.resting.Load() }
+
+func (e *Estate) well() bool {
 	return e.ready.Load() && !e.node.server.draining.Load() && e.estate.isFresh(e.node.loop.clock.now())
 }
 
+// Rest takes over whether it is to rest: then it is not ready, and lets go of each client after its next answer.
+func (e *Estate) Rest(rest bool) { e.node.server.resting.Store(rest) }
+
 // Confirm tells until when control's word is known to be the newest.
 func (e *Estate) Confirm(ago time.Duration) {
 	at := int64(e.node.loop.clock.now() - ago)
--- a/internal/node/passing.go
+++ b/internal/node/passing.go
@@ -206,12 +206,15 @@
 		if !s.take(cc) {
 			return false
 		}
+		s.counts.own(turned.status)
 		return s.reply(cc, turned.status, turned.fields, turned.text)
 	}
 	if !s.take(cc) {
 		return false
 	}
 	c.conn, r.estate = cc.Conn, c.estate
+	s.counts.open.Add(1)
+	defer s.counts.open.Add(-1)
 	s.events <- c
 	for {
 		select {
@@ -238,10 +241,13 @@
 	case cmd.bad != 0:
 		return s.reply(cc, cmd.bad, "", "this request can't be used")
 	case !cmd.refuse && cmd.late:
+		s.counts.own(504)
 		return s.reply(cc, 504, "", "too late")
 	case !cmd.refuse:
+		s.counts.own(502)
 		return s.reply(cc, 502, "", "failed")
 	}
+	s.counts.own(503)
 	fields, status := "", 503
 	if cmd.over {
 		status = 429
@@ -254,7 +260,10 @@
 
 // whole writes an app server's answer, made by passOn.
 func (s *server) whole(cc *clientConn, answer []byte) bool {
-	over := s.draining.Load() || cc.req.over()
+	if i := len(answerStart); len(answer) > i {
+		s.counts.passed(answer[i])
+	}
+	over := s.draining.Load() || s.resting.Load() || cc.req.over()
 	if over {
 		const more = "Connection: close\r\n"
 		if i := bytes.Index(answer, []byte("\r\n")); i >= 0 {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -38,6 +38,7 @@
 	events   chan<- any
 	ready    atomic.Bool
 	draining atomic.Bool
+	resting  atomic.Bool // an estate's, told to rest
 	tune     atomic.Pointer[Tuning]
 
 	mu     sync.Mutex
@@ -50,6 +51,7 @@
 	booked booked
 	watch  *watch          // nil: no view of the fleet is kept
 	estate *estate         // nil: the platform's wire is spoken
+	counts counts          // an estate's
 	over   <-chan struct{} // closed when an estate's loop has ended
 }
 
@@ -456,7 +458,7 @@
 
 // reply answers a request; the connection goes on if both sides want it.
 func (s *server) reply(cc *clientConn, status int, fields, body string) bool {
-	over := s.draining.Load() || cc.req.over() || s.lastAnswer(cc)
+	over := s.draining.Load() || s.resting.Load() || cc.req.over() || s.lastAnswer(cc)
 	if over {
 		fields += "Connection: close\r\n"
 	}
