--- a/cmd/almanac/config.go
+++ b/cmd/almanac/config.go
@@ -135,6 +135,11 @@
 		fmt.Fprintln(a.out, "nothing was sent: give --yes to do it")
 		return nil
 	}
+	drop, err := a.lock(ctx, client, whoAmI(), false)
+	if err != nil {
+		return err
+	}
+	defer drop()
 	before := client.Look(ctx)
 	if err := client.Push(ctx, p, c.Duration("settle"), almanac.Steady(before), func(s string) { fmt.Fprintln(a.out, s) }); err != nil {
 		return err
--- a/cmd/almanac/look.go
+++ b/cmd/almanac/look.go
@@ -18,11 +18,6 @@
 		Action: func(ctx context.Context, c *cli.Command) error { return a.look(ctx, c, (*almanac.View).Write) }}
 }
 
-func (a *app) node() *cli.Command {
-	return &cli.Command{Name: "node", Usage: "barns and gates", Commands: []*cli.Command{{Name: "list", Usage: "all that are known", Flags: []cli.Flag{asJSON()},
-		Action: func(ctx context.Context, c *cli.Command) error { return a.look(ctx, c, (*almanac.View).WriteNodes) }}}}
-}
-
 func (a *app) look(ctx context.Context, c *cli.Command, write func(*almanac.View, writer)) error {
 	client, err := a.client(c)
 	if err != nil {
--- a/cmd/almanac/main.go
+++ b/cmd/almanac/main.go
@@ -29,7 +29,7 @@
 	silent   = 5 // nobody answers, or control has no majority
 	back     = 6 // done and taken back
 	halted   = 7 // a run waits for a person, or was stopped; it can be resumed
-	taken    = 8 // another operator holds the runbook
+	taken    = 8 // another operator holds the runbook, or the lock of control
 )
 
 // envCtl holds the addresses where --ctl is not given.
@@ -86,7 +86,7 @@
 var next = map[int]string{
 	unclear: "next: `almanac config show` or `almanac status` tells whether it is in force; giving the same order again does no harm",
 	silent:  "next: check --ctl and the way to the core machines; `almanac status` tells who answers; `almanac runbook explain` of core-majority leads on",
-	taken:   "next: speak with whoever holds it; a holder that has ended lets go by itself",
+	taken:   "next: speak with whoever holds it; a holder that has ended lets go by itself, the lock of control after 15 s",
 }
 
 func codeOf(err error) int {
@@ -100,6 +100,8 @@
 		return back
 	case errors.As(err, &went), errors.Is(err, almanac.ErrUnclear):
 		return unclear
+	case errors.Is(err, almanac.ErrTaken):
+		return taken
 	case errors.As(err, &no), errors.Is(err, almanac.ErrOvertaken), errors.Is(err, almanac.ErrNoConfig):
 		return refused
 	case errors.Is(err, almanac.ErrNobody), errors.Is(err, almanac.ErrUnsettled):
--- a/cmd/almanac/runbook.go
+++ b/cmd/almanac/runbook.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"pepperfall.example/pepperfall/api"
 	"pepperfall.example/pepperfall/internal/almanac"
 	"pepperfall.example/pepperfall/internal/calendar"
 	"pepperfall.example/pepperfall/internal/calendar/daybook"
@@ -25,18 +26,29 @@
 
 func (a *app) runbook() *cli.Command {
 	params := &cli.StringSliceFlag{Name: "set", Usage: "a param, `NAME=VALUE`"}
-	confirm := &cli.StringSliceFlag{Name: "confirm", Usage: "agree to the `STEP` that asks, beforehand"}
-	journal := &cli.StringFlag{Name: "journal", Usage: "`DIR` of the journals", Value: journals(), Sources: cli.EnvVars("PEPPERFALL_JOURNAL")}
+	confirm, journal := confirms(), journalDir()
 	return &cli.Command{Name: "runbook", Usage: "be led through a bad night", Commands: []*cli.Command{
 		{Name: "check", Usage: "name each fault of runbooks", ArgsUsage: "FILE...", Action: a.runbookCheck},
 		{Name: "explain", Usage: "what a runbook does, in words", ArgsUsage: "FILE", Action: a.runbookExplain},
 		{Name: "run", Usage: "carry a runbook out; with --state only say what would be done", ArgsUsage: "FILE", Action: a.runbookRun, Flags: []cli.Flag{params, confirm, journal, yes(),
-			&cli.StringFlag{Name: "state", Usage: "dry run against a `FILE` of status --json, or an array of such"}}},
+			dryState()}},
 		{Name: "resume", Usage: "go on with a run", ArgsUsage: "RUNBOOK RUN", Action: a.runbookResume, Flags: []cli.Flag{confirm, journal, yes()}},
 		{Name: "list", Usage: "runs in the journals of this machine", Action: a.runbookList, Flags: []cli.Flag{journal}},
 	}}
 }
 
+func confirms() cli.Flag {
+	return &cli.StringSliceFlag{Name: "confirm", Usage: "agree to the `STEP` that asks, beforehand"}
+}
+
+func journalDir() cli.Flag {
+	return &cli.StringFlag{Name: "journal", Usage: "`DIR` of the journals", Value: journals(), Sources: cli.EnvVars("PEPPERFALL_JOURNAL")}
+}
+
+func dryState() cli.Flag {
+	return &cli.StringFlag{Name: "state", Usage: "dry run against a `FILE` of status --json, or an array of such"}
+}
+
 // journals is where a user's journals are.
 func journals() string {
 	if dir := os.Getenv("XDG_STATE_HOME"); dir != "" {
@@ -106,7 +118,13 @@
 		}
 		params[k] = v
 	}
-	if params, err = b.Told(params); err != nil {
+	return a.carry(ctx, c, b, text, params)
+}
+
+// carry begins a run of a book, or plays it dry.
+func (a *app) carry(ctx context.Context, c *cli.Command, b *calendar.Book, text []byte, params map[string]string) error {
+	params, err := b.Told(params)
+	if err != nil {
 		return cli.Exit(err, badInput)
 	}
 	began := calendar.Entry{Note: calendar.Began, Book: string(text), Params: params, Text: b.Name}
@@ -128,6 +146,13 @@
 		}
 		return err
 	}
+	if b.Limits.Orders > 0 {
+		drop, err := a.lock(ctx, client, who, false)
+		if err != nil {
+			return err
+		}
+		defer drop()
+	}
 	name := a.w.Now().UTC().Format("20060102-150405")
 	began.At = a.w.Now().UTC()
 	page := daybook.Page{Book: book, Run: name}
@@ -142,6 +167,26 @@
 	return a.tend(ctx, c, client, run, page, b.Name)
 }
 
+// lock takes control's lock. One who resumes waits for as long as an earlier life of the same run may still have it.
+func (a *app) lock(ctx context.Context, client *almanac.Client, who string, waits bool) (drop func(), err error) {
+	began := a.w.Now()
+	for {
+		h, err := client.Hold(ctx, who)
+		switch {
+		case err == nil:
+			return h.Drop, nil
+		case !waits || !errors.Is(err, almanac.ErrTaken) || a.w.Now().Sub(began) > api.LockMost+lockAgain:
+			return nil, err
+		}
+		fmt.Fprintf(a.out, "waits for the lock: %v\n", err)
+		if !world.Sleep(ctx, a.w, lockAgain) {
+			return nil, err
+		}
+	}
+}
+
+const lockAgain = 3 * time.Second
+
 // unfinished is a run that is not at its end.
 func unfinished(book *daybook.Daybook) (string, error) {
 	names, err := book.Runs()
@@ -192,12 +237,7 @@
 	if dir == "" {
 		return nil, "", cli.Exit("no folder for the journals: give --journal", badInput)
 	}
-	who := "somebody"
-	if u, err := user.Current(); err == nil {
-		who = u.Username
-	}
-	host, _ := os.Hostname()
-	who = fmt.Sprintf("%s at %s, process %d", who, host, os.Getpid())
+	who := whoAmI()
 	b, err := daybook.Open(vfs.Default, filepath.Join(dir, filepath.Base(name)), who, a.w.Now())
 	if errors.Is(err, daybook.ErrHeld) {
 		return nil, "", cli.Exit(err, taken)
@@ -205,6 +245,16 @@
 	return b, who, err
 }
 
+// whoAmI is what others are told of who holds something.
+func whoAmI() string {
+	who := "somebody"
+	if u, err := user.Current(); err == nil {
+		who = u.Username
+	}
+	host, _ := os.Hostname()
+	return fmt.Sprintf("%s at %s, process %d", who, host, os.Getpid())
+}
+
 type clock struct{ world.World }
 
 func (c clock) Sleep(ctx context.Context, d time.Duration) bool { return world.Sleep(ctx, c.World, d) }
@@ -217,7 +267,7 @@
 		}
 		last = s
 	}}
-	t.Hands = &confirming{Hands: almanac.Hands{Client: client, Person: func(_ context.Context, step, question string) (bool, string, error) {
+	t.Hands = &confirming{Hands: almanac.Hands{Client: client, Run: a.command, Person: func(_ context.Context, step, question string) (bool, string, error) {
 		return a.person(c, step, question)
 	}}, app: a, yes: c.Bool("yes")}
 	err := t.Go(ctx)
@@ -246,7 +296,8 @@
 
 // person answers a confirm step.
 func (a *app) person(c *cli.Command, step, question string) (bool, string, error) {
-	if slices.Contains(c.StringSlice("confirm"), step) {
+	bare, _, _ := strings.Cut(step, "@")
+	if given := c.StringSlice("confirm"); slices.Contains(given, step) || slices.Contains(given, bare) {
 		return true, "--confirm", nil
 	}
 	for {
@@ -305,6 +356,13 @@
 		fmt.Fprintf(a.out, "%s %s\n", e.At.Format("15:04:05"), tend.Says(e))
 	}
 	page := daybook.Page{Book: book, Run: id}
+	if run.End == "" && run.Book.Limits.Orders > 0 {
+		drop, err := a.lock(ctx, client, who, true)
+		if err != nil {
+			return err
+		}
+		defer drop()
+	}
 	if run.End == "" {
 		took := calendar.Entry{No: run.Next(), At: a.w.Now().UTC(), Note: calendar.Took, Text: who}
 		if err := page.Append(&took); err != nil {
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -1,9 +1,14 @@
 // Package deploy carries the example files that programs bring along.
 package deploy
 
-import _ "embed"
+import "embed"
 
 // Catalogue is the example description, catalogue.yaml.
 //
 //go:embed catalogue.yaml
 var Catalogue []byte
+
+// Runbooks are those that commands of the operators' client stand for.
+//
+//go:embed runbooks/swap-gates.toml runbooks/add-gates.toml runbooks/remove-gates.toml
+var Runbooks embed.FS
--- a/internal/almanac/client.go
+++ b/internal/almanac/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -28,6 +29,8 @@
 	mostJumps   = 2
 	mostBarns   = 64
 	mostReason  = 2000
+
+	statusLocked = http.StatusLocked
 )
 
 // Errors of calls.
@@ -52,6 +55,7 @@
 	addrs []string
 	http  *http.Client
 	good  atomic.Pointer[string] // the address that answered last: it is asked first
+	hold  atomic.Pointer[Hold]   // the lock; nil: it is not held
 }
 
 // turn is the order of asking. Orders and configurations go to addresses that
@@ -175,9 +179,28 @@
 	return errors.Wrap(ErrNobody, why.Error())
 }
 
-// order gives an order until one barn answers clearly. It is sent as it was.
-func (c *Client) order(ctx context.Context, path string, body []byte) error {
-	ctx, cancel := world.WithTimeout(ctx, c.w, OrderWithin)
+// give gives an order, under the lock where that is held.
+func (c *Client) give(ctx context.Context, path string, query url.Values, body []byte) error {
+	if h := c.hold.Load(); h != nil {
+		if err := h.sure(ctx); errors.Is(err, ErrTaken) {
+			return errors.WithMessage(ErrOvertaken, err.Error())
+		} else if err != nil {
+			return errors.WithMessage(ErrUnsettled, "the lock has run out and is not to be had: "+err.Error())
+		}
+		if query == nil {
+			query = url.Values{}
+		}
+		query.Set(api.LockToken, h.ask.Token)
+	}
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	return c.order(ctx, path, body, OrderWithin)
+}
+
+// order sends an order until one barn answers clearly. It is sent as it was.
+func (c *Client) order(ctx context.Context, path string, body []byte, within time.Duration) error {
+	ctx, cancel := world.WithTimeout(ctx, c.w, within)
 	defer cancel()
 	sent := false
 	why := ErrNobody
@@ -217,7 +240,7 @@
 
 // Replace brings a configuration.
 func (c *Client) Replace(ctx context.Context, body []byte) error {
-	return c.order(ctx, api.ConfigReplace, body)
+	return c.give(ctx, api.ConfigReplace, nil, body)
 }
 
 // Drain evacuates a zone, or takes that back.
@@ -226,5 +249,25 @@
 	if drain {
 		path = api.DrainBegin
 	}
-	return c.order(ctx, path+zone, nil)
+	return c.give(ctx, path+zone, nil, nil)
+}
+
+// Floor is what has to stay awake where a gate is to rest.
+type Floor struct {
+	Zone, All float64 // parts of its zone's gates, and of all
+	Force     bool    // no matter what stays; the gate need not be known yet
+}
+
+// Rest has a gate rest.
+func (c *Client) Rest(ctx context.Context, gate string, least Floor) error {
+	q := url.Values{api.RestZone: {fmt.Sprint(least.Zone)}, api.RestAll: {fmt.Sprint(least.All)}}
+	if least.Force {
+		q.Set(api.RestForce, "true")
+	}
+	return c.give(ctx, api.NodeRest+url.PathEscape(gate), q, nil)
+}
+
+// Wake takes that back.
+func (c *Client) Wake(ctx context.Context, gate string) error {
+	return c.give(ctx, api.NodeWake+url.PathEscape(gate), nil, nil)
 }
--- /dev/null
+++ b/internal/almanac/export_test.go
@@ -0,0 +1,7 @@
+package almanac
+
+// Freeze has a holder ask for its lock no more, as where its machine stands still.
+func Freeze(h *Hold) {
+	h.stop()
+	<-h.done
+}
--- a/internal/almanac/facts.go
+++ b/internal/almanac/facts.go
@@ -55,17 +55,47 @@
 }
 
 func gates(v *View, f calendar.Facts) {
-	alive, ready, lagging := 0, 0, 0
+	alive, ready, lagging, awake, resting := 0, 0, 0, 0, 0
 	for _, g := range v.Gates {
 		name := "gate." + g.Name
 		f[name+".alive"], f[name+".ready"], f[name+".lagging"] = g.Alive, g.Ready, g.Lags != ""
+		f[name+".to_rest"], f[name+".rests"] = g.ToRest, g.Rests
+		if g.Life > 0 {
+			f[name+".life"] = float64(g.Life)
+		}
+		if g.Figures != nil {
+			f[name+".requests"], f[name+".clients"] = float64(g.Figures.Open), float64(g.Figures.Clients)
+		}
+		awake, resting = awake+one(g.Awake()), resting+one(g.ToRest)
 		f[name+".version"] = float64(number(g.Gen))
 		alive, ready, lagging = alive+one(g.Alive), ready+one(g.Ready), lagging+one(g.Lags != "")
 	}
 	f["gates.known"], f["gates.alive"], f["gates.ready"], f["gates.lagging"] = float64(len(v.Gates)), float64(alive), float64(ready), float64(lagging)
+	f["gates.awake"], f["gates.resting"] = float64(awake), float64(resting)
 	if len(v.Gates) > 0 {
 		f["gates.ready_share"] = float64(ready) / float64(len(v.Gates))
+		f["gates.awake_share"] = float64(awake) / float64(len(v.Gates))
+	}
+	answers(v, f)
+}
+
+// answers are known once all gates that take clients tell theirs.
+func answers(v *View, f calendar.Facts) {
+	var refused, failed, all, refusedPerS, failedPerS float64
+	for _, g := range v.Gates {
+		n := g.Figures
+		if n == nil || n.SpanMS <= 0 {
+			if g.Ready {
+				return
+			}
+			continue
+		}
+		refused, failed, all = refused+float64(n.Refused), failed+float64(n.Failed), all+float64(n.Refused)+float64(n.Failed)+float64(n.Served)
+		refusedPerS += float64(n.Refused) * 1000 / float64(n.SpanMS)
+		failedPerS += float64(n.Failed) * 1000 / float64(n.SpanMS)
 	}
+	f["gates.refused_per_s"], f["gates.failed_per_s"] = refusedPerS, failedPerS
+	f["gates.refused_share"], f["gates.failed_share"] = refused/max(all, 1), failed/max(all, 1)
 }
 
 func one(yes bool) int {
@@ -76,19 +106,22 @@
 }
 
 func zones(v *View, f calendar.Facts) {
-	drained, open, all := 0, 0, 0
+	drained, open, all, cold := 0, 0, 0, 0
 	for _, z := range v.Zones {
 		name := "zone." + z.Name
 		is := z.Order.Drained && z.Order.Confirmed
 		f[name+".drained"] = is
 		f[name+".barns"], f[name+".answering"] = float64(z.Barns), float64(z.Answering)
 		f[name+".gates"], f[name+".ready"] = float64(z.Gates), float64(z.Ready)
+		f[name+".awake"] = float64(z.Awake)
+		cold += z.Servers.Cold
 		f[name+".servers"] = float64(z.Servers.Ready + z.Servers.Cold)
 		drained, all = drained+one(is), all+z.Servers.Ready
 		if !is {
 			open += z.Servers.Ready
 		}
 	}
+	f["servers.cold"] = float64(cold)
 	f["zones.drained"], f["servers.ready"], f["servers.open"] = float64(drained), float64(all), float64(open)
 }
 
--- a/internal/almanac/hands.go
+++ b/internal/almanac/hands.go
@@ -18,7 +18,8 @@
 type Hands struct {
 	Client *Client
 	Person func(ctx context.Context, step, question string) (agreed bool, by string, err error)
-	Facts  func(calendar.Facts) // what a caller adds to what is seen; nil: nothing
+	Facts  func(calendar.Facts)                                  // what a caller adds to what is seen; nil: nothing
+	Run    func(ctx context.Context, command, node string) error // runs an operator's command; nil: it can't
 }
 
 // Look asks the barns.
@@ -47,6 +48,12 @@
 		}
 		return h.zone(ctx, t, zone, drain)
 	}
+	switch t.Deed {
+	case calendar.DeedRest, calendar.DeedWake:
+		return h.node(ctx, t)
+	case calendar.DeedRestart, calendar.DeedHalt, calendar.DeedStart:
+		return h.machine(ctx, t)
+	}
 	held, err := h.Client.Show(ctx)
 	switch {
 	case errors.Is(err, ErrNoConfig):
@@ -108,31 +115,61 @@
 }
 
 func (h *Hands) zone(ctx context.Context, t calendar.Task, zone string, drain bool) (*calendar.Order, error) {
+	o := &calendar.Order{Deed: t.Deed, Zone: zone, Drain: drain, Says: map[bool]string{true: "evacuate ", false: "restore "}[drain] + zone}
+	return h.word(ctx, t, o)
+}
+
+// word makes an order about a zone or gate, by what holds.
+func (h *Hands) word(ctx context.Context, t calendar.Task, o *calendar.Order) (*calendar.Order, error) {
 	v := h.Client.Look(ctx)
 	if !v.Settled {
 		return nil, errors.WithMessage(tend.ErrLater, ErrUnsettled.Error())
 	}
-	o := &calendar.Order{Deed: t.Deed, Zone: zone, Drain: drain, Says: map[bool]string{true: "evacuate ", false: "restore "}[drain] + zone}
-	if z := v.Zone(zone); z != nil {
-		o.Base = z.Order.Count
-		if u := t.Undo; u != nil && u.Count > 0 && z.Order.Count != u.Count {
-			return nil, errors.Errorf("zone %s: another operator's order holds since this run's: it is not undone", zone)
-		}
-		if z.Order.Count > 0 && z.Order.Confirmed && z.Order.Drained == drain {
-			o.Nothing, o.Says = true, o.Says+": it is so already"
-		}
+	is := v.standing(o)
+	o.Base = is.count
+	switch u := t.Undo; {
+	case is.count > 0 && is.confirmed && is.drain == o.Drain:
+		o.Nothing, o.Says = true, o.Says+": it is so already"
+	case u != nil && u.Count > 0 && is.count != u.Count:
+		return nil, errors.Errorf("%s%s: another operator's order holds since this run's: it is not undone", kind(o), u.Zone+u.Node)
 	}
 	return o, nil
 }
 
+// standing is the newest order about what an order is about.
+type standing struct {
+	count            uint64
+	drain, confirmed bool
+}
+
+func (v *View) standing(o *calendar.Order) standing {
+	if o.Node != "" {
+		n := v.Node(o.Node)
+		return standing{n.Count, n.Rests, n.Confirmed}
+	}
+	if z := v.Zone(o.Zone); z != nil {
+		return standing{z.Order.Count, z.Order.Drained, z.Order.Confirmed}
+	}
+	return standing{}
+}
+
+func kind(o *calendar.Order) string {
+	if o.Node != "" {
+		return "gate "
+	}
+	return "zone "
+}
+
 // Settle has an order hold. What holds already is found out first: so an order
 // whose giver died, or whose answer was lost, is not given again.
 func (h *Hands) Settle(ctx context.Context, o *calendar.Order) (tend.Outcome, string) {
 	switch {
 	case o.Nothing:
 		return tend.Done, "nothing was to be done"
-	case o.Zone != "":
-		return h.settleZone(ctx, o)
+	case calendar.OnMachine(o.Deed):
+		return h.settleMachine(ctx, o)
+	case o.Zone != "" || o.Node != "":
+		return h.settleWord(ctx, o)
 	}
 	held, err := h.Client.Show(ctx)
 	if err != nil {
@@ -150,29 +187,41 @@
 	return outcome(h.Client.Bring(ctx, o.Gen, o.Body))
 }
 
-func (h *Hands) settleZone(ctx context.Context, o *calendar.Order) (tend.Outcome, string) {
+func (h *Hands) settleWord(ctx context.Context, o *calendar.Order) (tend.Outcome, string) {
 	v := h.Client.Look(ctx)
 	if !v.Settled {
 		return tend.Unclear, ErrUnsettled.Error()
 	}
-	if z := v.Zone(o.Zone); z != nil && z.Order.Count > o.Base {
+	if is := v.standing(o); is.count > o.Base {
 		switch {
-		case z.Order.Drained != o.Drain:
-			return tend.Overtaken, fmt.Sprintf("zone %s: another order holds, given after this one was meant", o.Zone)
-		case z.Order.Confirmed:
-			o.Count = z.Order.Count
+		case is.drain != o.Drain:
+			return tend.Overtaken, fmt.Sprintf("%s%s: another order holds, given after this one was meant", kind(o), o.Zone+o.Node)
+		case is.confirmed:
+			o.Count = is.count
 			return tend.Done, ""
 		}
 	}
-	if err := h.Client.Drain(ctx, o.Zone, o.Drain); err != nil {
+	if err := h.give(ctx, o); err != nil {
 		return outcome(err)
 	}
-	if z := h.Client.Look(ctx).Zone(o.Zone); z != nil && z.Order.Count > o.Base && z.Order.Drained == o.Drain {
-		o.Count = z.Order.Count
+	if is := h.Client.Look(ctx).standing(o); is.count > o.Base && is.drain == o.Drain {
+		o.Count = is.count
 	}
 	return tend.Done, ""
 }
 
+func (h *Hands) give(ctx context.Context, o *calendar.Order) error {
+	switch {
+	case o.Node == "":
+		return h.Client.Drain(ctx, o.Zone, o.Drain)
+	case !o.Drain:
+		return h.Client.Wake(ctx, o.Node)
+	case len(o.Least) == 2:
+		return h.Client.Rest(ctx, o.Node, Floor{Zone: o.Least[0], All: o.Least[1]})
+	}
+	return h.Client.Rest(ctx, o.Node, Floor{Force: true})
+}
+
 func outcome(err error) (tend.Outcome, string) {
 	var no *Refused
 	switch {
--- a/internal/almanac/record.go
+++ b/internal/almanac/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"pepperfall.example/pepperfall/api"
 	"pepperfall.example/pepperfall/internal/calendar"
 	"pepperfall.example/pepperfall/internal/calendar/tend"
 )
@@ -24,12 +25,15 @@
 	clock  time.Time
 	began  time.Time
 	zones  map[string]bool
+	rests  map[string]bool  // by gate
+	lives  map[string]int64 // by gate: new ones
+	halted map[string]bool  // by gate
 	edits  []func(*Summary)
 }
 
 // ReadRecord reads a view, or an array of them.
 func ReadRecord(text []byte) (*Record, error) {
-	r := &Record{zones: map[string]bool{}, Tell: func(string) {}}
+	r := &Record{zones: map[string]bool{}, rests: map[string]bool{}, lives: map[string]int64{}, halted: map[string]bool{}, Tell: func(string) {}}
 	var err error
 	if text = bytes.TrimSpace(text); bytes.HasPrefix(text, []byte("[")) {
 		err = json.Unmarshal(text, &r.Views)
@@ -69,6 +73,18 @@
 			v.Zones[i].Order.Drained, v.Zones[i].Order.Confirmed = drained, true
 		}
 	}
+	v.Gates = slices.Clone(v.Gates)
+	for i := range v.Gates {
+		g := &v.Gates[i]
+		if rests, told := r.rests[g.Name]; told {
+			well := g.Ready || g.Rests
+			if g.ToRest, g.Rests, g.Ready = rests, rests && well, !rests && well; rests && g.Figures != nil {
+				g.Figures = &api.Figures{SpanMS: g.Figures.SpanMS}
+			}
+		}
+		g.Life += r.lives[g.Name]
+		g.Alive = g.Alive && !r.halted[g.Name]
+	}
 	if v.Config != nil {
 		c := *v.Config
 		c.Services, c.Tenants = slices.Clone(c.Services), slices.Clone(c.Tenants)
@@ -77,7 +93,6 @@
 			c.Gen = fmt.Sprintf("r%d", number(c.Gen)+1)
 		}
 		v.Config = &c
-		v.Gates = slices.Clone(v.Gates)
 		for i := range v.Gates {
 			if len(r.edits) > 0 && v.Gates[i].Ready {
 				v.Gates[i].Gen = c.Gen
@@ -93,7 +108,18 @@
 	if t.Undo != nil {
 		o.Zone, o.Drain, o.Says = t.Undo.Zone, !t.Undo.Drain, "what undoes "+t.Undo.Says
 	}
-	if o.Zone == "" {
+	if gate := t.Args["gate"]; gate != "" || t.Undo != nil && t.Undo.Node != "" {
+		o.Node, o.Zone, o.Drain = gate, "", t.Deed == calendar.DeedRest
+		if t.Undo != nil {
+			o.Node, o.Drain = t.Undo.Node, !t.Undo.Drain
+		}
+		for _, g := range r.Views[0].Gates {
+			if g.Name == o.Node && calendar.OnMachine(t.Deed) {
+				o.Base = uint64(g.Life)
+			}
+		}
+	}
+	if o.Zone == "" && o.Node == "" {
 		o.Body, _ = json.Marshal(t)
 	}
 	return o, nil
@@ -102,7 +128,15 @@
 // Settle sends nothing.
 func (r *Record) Settle(_ context.Context, o *calendar.Order) (tend.Outcome, string) {
 	r.Tell("would order: " + o.Says)
-	if o.Zone != "" {
+	switch {
+	case calendar.OnMachine(o.Deed):
+		r.lives[o.Node] = int64(time.Second)
+		r.halted[o.Node] = o.Deed == calendar.DeedHalt
+		return tend.Done, "dry run"
+	case o.Node != "":
+		r.rests[o.Node] = o.Drain
+		return tend.Done, "dry run"
+	case o.Zone != "":
 		r.zones[o.Zone] = o.Drain
 		return tend.Done, "dry run"
 	}
--- a/internal/almanac/state.go
+++ b/internal/almanac/state.go
@@ -37,6 +37,10 @@
 	}
 	_ = t.Flush()
 	for _, z := range in.Zones {
+		if node, is := z.Node(); is {
+			fmt.Fprintf(out, "gate %s: rests %v, order %d by %s\n", clean(node), z.Drain, z.Count, clean(z.By))
+			continue
+		}
 		fmt.Fprintf(out, "zone %s: drained %v, order %d by %s\n", clean(z.Zone), z.Drain, z.Count, clean(z.By))
 	}
 	fmt.Fprintln(out, "on start: "+map[granary.Found]string{
--- /dev/null
+++ b/internal/almanac/swap_test.go
@@ -0,0 +1,253 @@
+package almanac_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/almanac"
+	"pepperfall.example/pepperfall/internal/calendar"
+	"pepperfall.example/pepperfall/internal/calendar/tend"
+	"pepperfall.example/pepperfall/internal/greenhouse"
+	"pepperfall.example/pepperfall/internal/orchard"
+)
+
+// swap is a run of a runbook about gates on a whole cluster under traffic, with the cluster's judge.
+type swap struct {
+	*testing.T
+	*greenhouse.House
+	*led
+	restarts map[string]int
+	mu       sync.Mutex
+	stays    string // a gate that does not come back
+}
+
+func served(t *testing.T, story func(s *swap)) {
+	t.Helper()
+	t.Parallel()
+	l := orchard.Layout{
+		Seed:  3,
+		Zones: []orchard.Zone{{Name: "north-a", Region: "north", Edges: 2, Cores: 1}, {Name: "north-b", Region: "north", Edges: 1, Cores: 1}, {Name: "south-a", Region: "south", Edges: 3, Cores: 1}},
+		Services: []orchard.Service{{Name: "pears", Each: 2, Capacity: 6, Work: 20 * time.Millisecond, MaxConns: 100, Warmup: 3 * time.Second, WarmPerS: 21},
+			{Name: "plums", Each: 2, Capacity: 6, Work: 150 * time.Millisecond, MaxConns: 100, Warmup: 3 * time.Second, WarmPerS: 21}},
+		Routes: []orchard.Route{{Name: "r-1", Host: "one.example", Prefix: "/a/", Kind: "idempotent", Timeout: 1000, Target: 400, Backend: "pears", Tries: 2},
+			{Name: "r-2", Host: "one.example", Prefix: "/b/", Kind: "mutating", Timeout: 1000, Target: 400, Backend: "plums", Tries: 2}},
+		Tenants: []orchard.Tenant{{Name: "ana", Keys: []string{"key-ana"}, Rate: 60, Burst: 60}, {Name: "ion", Keys: []string{"key-ion"}}},
+		Rate:    60,
+	}
+	greenhouse.Play(t, l, func(o *greenhouse.House) {
+		s := &swap{T: t, House: o, restarts: map[string]int{}}
+		f := &farm{T: t, client: s.another()}
+		defer f.later.Wait()
+		o.Pass(4 * time.Second)
+		s.led = &led{f: f}
+		s.Client = f.client
+		s.Hands.Run = func(_ context.Context, _, node string) error {
+			s.mu.Lock()
+			s.restarts[node]++
+			s.mu.Unlock()
+			for _, n := range o.Edges() {
+				if n.Name == node {
+					f.later.Go(func() {
+						o.Terminate(n)
+						time.Sleep(2 * time.Second)
+						if node != s.stays {
+							o.Start(n)
+						}
+					})
+				}
+			}
+			return nil
+		}
+		story(s)
+	})
+}
+
+// another is a client on a machine of its own.
+func (s *swap) another() *almanac.Client {
+	var ctls []string
+	for _, c := range s.Cores() {
+		ctls = append(ctls, c.Ctl())
+	}
+	return almanac.New(s.Net.Host("10.252.0.1"), ctls)
+}
+
+func (s *swap) begin(book, params string) {
+	s.Helper()
+	all := map[string]string{}
+	for _, p := range strings.Fields(params) {
+		k, v, _ := strings.Cut(p, "=")
+		all[k] = v
+	}
+	hands := s.Hands
+	s.led = s.f.lead(book, all)
+	s.Hands = hands
+}
+
+// held works on the run under the lock until it ends.
+func (s *swap) held(ctx context.Context) (*calendar.Run, error) {
+	s.Helper()
+	var h *almanac.Hold
+	for began := time.Now(); h == nil; time.Sleep(time.Second) {
+		var err error
+		h, err = s.Client.Hold(ctx, "the swap")
+		assert.Assert(s, err == nil || time.Since(began) < 20*time.Second, "%v", err)
+	}
+	defer h.Drop()
+	return s.goOn(ctx)
+}
+
+func (s *swap) endsAs(how string) *calendar.Run {
+	s.Helper()
+	r, err := s.held(context.Background())
+	assert.NilError(s, err)
+	assert.Equal(s, r.End, how, r.EndText)
+	return r
+}
+
+func (s *swap) awake() (n int) {
+	for _, g := range s.Client.Look(context.Background()).Gates {
+		if g.Awake() {
+			n++
+		}
+	}
+	return n
+}
+
+const south = "edge-south-a-0,edge-south-a-1,edge-south-a-2"
+
+// A zone's gates are swapped under traffic. All of control is killed in the middle, then the controller's machine dies
+// between a restart and its record, and goes on: each gate is restarted once, and no rule is broken.
+func TestSwapOfAZone(t *testing.T) {
+	served(t, func(s *swap) {
+		began := time.Now()
+		s.begin("swap-gates", "restart=do gate="+south)
+		ctx, dies := context.WithCancel(context.Background())
+		s.settled = func(o *calendar.Order) {
+			switch {
+			case o.Deed == calendar.DeedRest && o.Node == "edge-south-a-0":
+				for _, c := range s.Cores() {
+					s.Kill(c)
+				}
+			case o.Deed == calendar.DeedRestart && o.Node == "edge-south-a-1":
+				dies()
+				panicked(s.led)
+			}
+		}
+		_, err := s.held(ctx)
+		assert.Assert(t, errors.Is(err, errDied), "%v", err)
+		s.j, s.settled = s.j.(*dying).journal, nil
+		s.Pass(3 * time.Second)
+		s.endsAs(calendar.EndDone)
+		assert.DeepEqual(t, s.restarts, map[string]int{"edge-south-a-0": 1, "edge-south-a-1": 1, "edge-south-a-2": 1})
+		assert.Equal(t, s.awake(), 6)
+		s.Served(began, 0.99)
+	})
+}
+
+// Two at a time; one of them doesn't come back: it rests still, the swap stops, and a person sees why.
+func TestSwapOfOneThatStaysAway(t *testing.T) {
+	served(t, func(s *swap) {
+		s.stays = "edge-north-a-1"
+		s.begin("swap-gates", "restart=do at-once=2 zone=0 gate=edge-north-a-0,edge-north-a-1,edge-south-a-0")
+		r := s.endsAs(calendar.EndStopped)
+		assert.Assert(t, strings.Contains(r.EndText, "gate.edge-north-a-1.renewed == true"), r.EndText)
+		assert.Equal(t, s.restarts["edge-south-a-0"], 0)
+		v := s.Client.Look(context.Background())
+		assert.Assert(t, v.Node("edge-north-a-1").Rests && strings.Contains(strings.Join(v.Troubles, "\n"), "gate edge-north-a-1 is to rest"), "%v", v.Troubles)
+	})
+}
+
+// Control refuses to have one rest too many: nothing is changed.
+func TestSwapWithoutRoom(t *testing.T) {
+	served(t, func(s *swap) {
+		s.Stop(s.Edge(0))
+		s.Pass(2 * time.Second)
+		s.begin("swap-gates", "restart=do gate=edge-north-a-1")
+		r := s.endsAs(calendar.EndStopped)
+		assert.Assert(t, strings.Contains(r.EndText, "0 of 2 gates in north-a would stay awake"), r.EndText)
+		assert.Equal(t, s.awake(), 5)
+		s.Start(s.Edge(0))
+		s.Pass(4 * time.Second)
+	})
+}
+
+// Requests begin to fail while a gate rests: it is woken, and not restarted.
+func TestSwapThatHarms(t *testing.T) {
+	served(t, func(s *swap) {
+		s.begin("swap-gates", "restart=do gate="+south)
+		s.settled = func(o *calendar.Order) {
+			if o.Deed == calendar.DeedRest && o.Drain {
+				for _, x := range s.Platform.Servers("") {
+					x.Spoil(0.7)
+				}
+			}
+		}
+		r := s.endsAs(calendar.EndUndone)
+		assert.Assert(t, strings.Contains(r.EndText, "fail too often"), r.EndText)
+		assert.Equal(t, len(s.restarts), 0)
+		assert.Equal(t, s.awake(), 6)
+		for _, x := range s.Platform.Servers("") {
+			x.Spoil(0)
+		}
+	})
+}
+
+// Two controllers: the second is told who has the lock, gets it once the first's machine is dead for as long as the
+// lock lasts, and the first gives no more orders then.
+func TestTwoSwaps(t *testing.T) {
+	served(t, func(s *swap) {
+		ctx := context.Background()
+		one := s.another()
+		h, err := one.Hold(ctx, "ana at desk-1")
+		assert.NilError(t, err)
+		_, err = s.Client.Hold(ctx, "ben at desk-2")
+		assert.Assert(t, errors.Is(err, almanac.ErrTaken), "%v", err)
+		assert.ErrorContains(t, err, "ana at desk-1 holds the lock since ")
+		s.Pass(20 * time.Second)
+		v := s.Client.Look(ctx)
+		assert.Equal(t, v.Lock.Who, "ana at desk-1")
+		assert.NilError(t, one.Rest(ctx, "edge-south-a-0", almanac.Floor{}))
+		assert.NilError(t, one.Wake(ctx, "edge-south-a-0"))
+		almanac.Freeze(h) // as its machine is
+		s.Pass(16 * time.Second)
+		other, err := s.Client.Hold(ctx, "ben at desk-2")
+		assert.NilError(t, err)
+		assert.Assert(t, errors.Is(one.Rest(ctx, "edge-south-a-0", almanac.Floor{}), almanac.ErrOvertaken))
+		h.Drop()
+		other.Drop()
+	})
+}
+
+// Gates are taken away, and come again at rest: no client meets them before they are woken.
+func TestGatesRemovedAndAdded(t *testing.T) {
+	served(t, func(s *swap) {
+		began := time.Now()
+		n := s.Edge(3)
+		run := s.Hands.Run
+		s.stays = n.Name
+		s.begin("remove-gates", "stop=do gate="+n.Name)
+		s.endsAs(calendar.EndDone)
+		assert.Equal(t, s.awake(), 5)
+		s.Hands.Run = func(context.Context, string, string) error { s.Start(n); return nil }
+		s.begin("add-gates", "start=do gate="+n.Name)
+		s.settled = func(o *calendar.Order) {
+			for i := 0; o.Deed == calendar.DeedStart && i < 40; i++ {
+				time.Sleep(100 * time.Millisecond)
+				assert.Check(t, !s.Clients.Named(s.Core(0), n) && !n.Ready())
+			}
+		}
+		s.endsAs(calendar.EndDone)
+		s.Hands.Run = run
+		assert.Equal(t, s.awake(), 6)
+		assert.Equal(t, s.restarts[n.Name], 1)
+		s.Served(began, 0.99)
+	})
+}
+
+var _ tend.Hands = (*almanac.Hands)(nil)
--- a/internal/almanac/table.go
+++ b/internal/almanac/table.go
@@ -22,6 +22,9 @@
 	if c := v.Config; c != nil {
 		fmt.Fprintf(out, "configuration: %s, %d routes, %d services, %d tenants\n", c.Gen, c.Routes, len(c.Services), len(c.Tenants))
 	}
+	if v.Lock.Who != "" {
+		fmt.Fprintf(out, "lock: held by %s since %s\n", v.Lock.Who, v.Lock.Since.UTC().Format(time.RFC3339))
+	}
 	v.WriteNodes(out)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "\nZONE\tDRAINED\tBARNS ANSWERING\tGATES READY\tSERVERS READY\tCOLD\tDRAINING")
@@ -61,13 +64,34 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%s\t%v\t%s\t%v\t%s\t%s\t%s\t%s\n", b.Name, b.Zone, b.Ctl, b.Voter, answers, b.Vouches, or(b.Held.Gen), or(b.Confirmed.Gen), ago(b.FreshMS), disk)
 	}
-	fmt.Fprintln(t, "\nGATE\tZONE\tFRONT\tREADY\tALIVE\tVERSION\tBEHIND\tHEARD\tBY\tLAGS")
+	fmt.Fprintln(t, "\nGATE\tZONE\tFRONT\tREADY\tRESTS\tOPEN\tCLIENTS\tSERVED/S\tREFUSED/S\tFAILED/S\tALIVE\tVERSION\tBEHIND\tHEARD\tBY\tLAGS")
 	for _, g := range v.Gates {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%v\t%v\t%s\t%d\t%s\t%s\t%s\n", g.Name, or(g.Zone), or(g.Front), g.Ready, g.Alive, or(g.Gen), g.Behind, ago(g.HeardMS), g.By, or(g.Lags))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%v\t%s\t%s\t%v\t%s\t%d\t%s\t%s\t%s\n", g.Name, or(g.Zone), or(g.Front), g.Ready, rest(&g), traffic(g.Figures), g.Alive, or(g.Gen), g.Behind, ago(g.HeardMS), g.By, or(g.Lags))
 	}
 	_ = t.Flush()
 }
 
+func rest(g *Gate) string {
+	switch {
+	case g.ToRest && g.Rests:
+		return "yes"
+	case g.ToRest:
+		return "told to"
+	case g.Rests:
+		return "still"
+	}
+	return "no"
+}
+
+// traffic is five columns.
+func traffic(f *api.Figures) string {
+	if f == nil || f.SpanMS <= 0 {
+		return "-\t-\t-\t-\t-"
+	}
+	s := float64(f.SpanMS) / 1000
+	return fmt.Sprintf("%d\t%d\t%.1f\t%.1f\t%.1f", f.Open, f.Clients, float64(f.Served)/s, float64(f.Refused)/s, float64(f.Failed)/s)
+}
+
 func or(text string) string {
 	if text == "" {
 		return "-"
--- a/internal/almanac/trouble.go
+++ b/internal/almanac/trouble.go
@@ -21,7 +21,7 @@
 	if s.Barn == "" || s.At.IsZero() {
 		return errors.New("an answer that no barn gives: it has no name or no time")
 	}
-	if len(s.Gates) > api.MostGates || len(s.Barns) > api.MostGates || len(s.Zones) > api.MostGates || len(s.List.Servers) > api.MostGates {
+	if len(s.Gates) > api.MostGates || len(s.Barns) > api.MostGates || len(s.Zones) > api.MostGates || len(s.Nodes) > 2*api.MostGates || len(s.List.Servers) > api.MostGates {
 		return errors.New("an answer that no barn gives: it is too long")
 	}
 	texts := []*string{&s.Barn, &s.Zone, &s.Region, &s.Disk, &s.List.By, &s.Held.Gen, &s.Held.Digest, &s.Confirmed.Gen, &s.Confirmed.Digest}
@@ -36,6 +36,10 @@
 	for i := range s.Zones {
 		texts = append(texts, &s.Zones[i].Zone, &s.Zones[i].By)
 	}
+	for i := range s.Nodes {
+		texts = append(texts, &s.Nodes[i].Node, &s.Nodes[i].By)
+	}
+	texts = append(texts, &s.Lock.Who)
 	for i := range s.List.Servers {
 		texts = append(texts, &s.List.Servers[i].Zone)
 	}
@@ -102,6 +106,14 @@
 			say("gate %s lags: %s", g.Name, g.Lags)
 		}
 	}
+	for _, o := range v.Nodes {
+		switch {
+		case !o.Confirmed:
+			say("gate %s: an order (rests: %v) that no majority holds", o.Node, o.Rests)
+		case o.Rests:
+			say("gate %s is to rest, by order %d: it takes no new clients until it is woken", o.Node, o.Count)
+		}
+	}
 	for _, z := range v.Zones {
 		if z.Order.Count > 0 && !z.Order.Confirmed {
 			say("zone %s: an order (drained: %v) that no majority holds", z.Name, z.Order.Drained)
--- a/internal/almanac/view.go
+++ b/internal/almanac/view.go
@@ -23,16 +23,18 @@
 
 // View is what the barns that answered say, joined.
 type View struct {
-	At       time.Time `json:"at"`
-	Looks    []Look    `json:"looks"`
-	Settled  bool      `json:"settled"` // a majority answers each other and vouches
-	Voters   int       `json:"voters"`
-	Majority int       `json:"majority"`
-	Barns    []Barn    `json:"barns"`
-	Gates    []Gate    `json:"gates"`
-	Zones    []Zone    `json:"zones"`
-	Config   *Summary  `json:"config"` // nil: not known
-	Troubles []string  `json:"troubles"`
+	At       time.Time       `json:"at"`
+	Looks    []Look          `json:"looks"`
+	Settled  bool            `json:"settled"` // a majority answers each other and vouches
+	Voters   int             `json:"voters"`
+	Majority int             `json:"majority"`
+	Barns    []Barn          `json:"barns"`
+	Gates    []Gate          `json:"gates"`
+	Zones    []Zone          `json:"zones"`
+	Nodes    []api.NodeOrder `json:"nodes"`
+	Lock     api.LockView    `json:"lock"`   // by a barn that has granted it; Who empty: nobody has it
+	Config   *Summary        `json:"config"` // nil: not known
+	Troubles []string        `json:"troubles"`
 }
 
 // Barn is a barn by all that is said of it.
@@ -57,6 +59,29 @@
 	By string `json:"by"`
 }
 
+// Awake tells whether it takes clients and is not to rest.
+func (g *Gate) Awake() bool { return g.Ready && !g.ToRest }
+
+// Gate finds a gate; nil: nobody spoke of it.
+func (v *View) Gate(name string) *Gate {
+	for i := range v.Gates {
+		if v.Gates[i].Name == name {
+			return &v.Gates[i]
+		}
+	}
+	return nil
+}
+
+// Node is the newest order about a gate; Count 0: none was ever given.
+func (v *View) Node(name string) api.NodeOrder {
+	for _, o := range v.Nodes {
+		if o.Node == name {
+			return o
+		}
+	}
+	return api.NodeOrder{Node: name}
+}
+
 // Zone is a zone with all that is known of it.
 type Zone struct {
 	Name      string        `json:"name"`
@@ -65,6 +90,7 @@
 	Answering int           `json:"answering"`
 	Gates     int           `json:"gates"`
 	Ready     int           `json:"ready"`
+	Awake     int           `json:"awake"` // ready and not to rest
 	Servers   api.ServersIn `json:"servers"`
 }
 
@@ -124,8 +150,8 @@
 // Join joins what barns said. Of what they differ in, the newest counts: for
 // gates the youngest hearing, for orders the highest number.
 func Join(at time.Time, looks []Look) *View {
-	v := &View{At: at.UTC(), Looks: looks, Barns: []Barn{}, Gates: []Gate{}, Zones: []Zone{}, Troubles: []string{}}
-	barns, gates, zones := map[string]*Barn{}, map[string]*Gate{}, map[string]*Zone{}
+	v := &View{At: at.UTC(), Looks: looks, Barns: []Barn{}, Gates: []Gate{}, Zones: []Zone{}, Nodes: []api.NodeOrder{}, Troubles: []string{}}
+	barns, gates, zones, nodes, figures := map[string]*Barn{}, map[string]*Gate{}, map[string]*Zone{}, map[string]api.NodeOrder{}, map[string]*api.Figures{}
 	zone := func(name string) *Zone {
 		if zones[name] == nil {
 			zones[name] = &Zone{Name: name, Servers: api.ServersIn{Zone: name}, Order: api.ZoneOrder{Zone: name}}
@@ -161,6 +187,17 @@
 			if old := gates[g.Name]; old == nil || g.HeardMS < old.HeardMS {
 				gates[g.Name] = &Gate{g, s.Barn}
 			}
+			if f := g.Figures; f != nil && (figures[g.Name] == nil || f.AgeMS < figures[g.Name].AgeMS) {
+				figures[g.Name] = f
+			}
+		}
+		for _, o := range s.Nodes {
+			if old := nodes[o.Node]; o.Count > old.Count || o.Count == old.Count && (o.By > old.By || o.By == old.By && o.Confirmed) {
+				nodes[o.Node] = o
+			}
+		}
+		if s.Lock.Who != "" && (v.Lock.Who == "" || s.Lock.LeftMS > v.Lock.LeftMS) {
+			v.Lock = s.Lock
 		}
 		for _, o := range s.Zones {
 			z := zone(o.Zone)
@@ -186,11 +223,18 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(gates)) {
 		g := *gates[name]
+		g.Figures, g.ToRest = figures[name], nodes[name].Rests && nodes[name].Confirmed
 		v.Gates = append(v.Gates, g)
 		z := zone(g.Zone)
 		if z.Gates++; g.Ready {
 			z.Ready++
 		}
+		if g.Awake() {
+			z.Awake++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(nodes)) {
+		v.Nodes = append(v.Nodes, nodes[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(zones)) {
 		if name != "" {
--- a/internal/barn/http.go
+++ b/internal/barn/http.go
@@ -163,8 +163,10 @@
 		return http.StatusBadRequest
 	case errors.Is(err, ErrZone), errors.Is(err, ErrNode):
 		return http.StatusNotFound
-	case errors.As(err, &tight), errors.As(err, &taken):
+	case errors.As(err, &tight):
 		return http.StatusConflict
+	case errors.As(err, &taken):
+		return http.StatusLocked
 	}
 	return http.StatusServiceUnavailable
 }
--- a/internal/barn/lock.go
+++ b/internal/barn/lock.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"pepperfall.example/pepperfall/api"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/granary"
@@ -117,7 +115,7 @@
 	defer b.mu.Unlock()
 	l := b.ops.lease
 	if l.until > b.now() && l.lock.Token != token {
-		return errors.WithStack(Taken{l.lock})
+		return Taken{l.lock}
 	}
 	return nil
 }
--- a/internal/calendar/book.go
+++ b/internal/calendar/book.go
@@ -14,6 +14,7 @@
 	Params []Param `toml:"params" max:"16"`
 	Before []Check `toml:"before" max:"16"` // what has to hold for it to begin
 	Limits Limits  `toml:"limits"`
+	Each   Each    `toml:"each"`
 	Steps  []Step  `toml:"steps" min:"1" max:"64"`
 }
 
@@ -21,7 +22,7 @@
 type Param struct {
 	Name    string `toml:"name" min:"1" max:"40"`
 	About   string `toml:"about" min:"1" max:"200"`
-	Kind    string `toml:"kind" one:"word number file"`
+	Kind    string `toml:"kind" one:"word number file list command"`
 	Default string `toml:"default"`
 }
 
@@ -75,6 +76,9 @@
 	Else    string   `toml:"else"` // where it did not come to hold within that
 
 	Ask string `toml:"ask" max:"1000"` // confirm
+
+	value string // of a list, for which it is taken; empty: for none
+	base  int    // its place among the page's steps
 }
 
 // Choice is one way on.
@@ -98,6 +102,18 @@
 	About string
 }
 
+// Deeds about gates.
+const (
+	DeedRest    = "rest"
+	DeedWake    = "wake"
+	DeedRestart = "restart"
+	DeedHalt    = "halt"
+	DeedStart   = "start"
+)
+
+// OnMachine tells whether a deed is done to a machine, and not by an order of control.
+func OnMachine(deed string) bool { return deed == DeedRestart || deed == DeedHalt || deed == DeedStart }
+
 // Deeds are all that there are.
 var Deeds = []Deed{
 	{"evacuate", []string{"zone"}, "restore", "sends nothing further to a zone's servers"},
@@ -106,6 +122,11 @@
 	{"limit_tenant", []string{"tenant", "rate", "burst"}, "the old content as the next version", "sets a tenant's limit, in the next version"},
 	{"leave_service", []string{"service"}, "the old content as the next version", "sends nothing more to a service that shares its routes"},
 	{"drop_key", []string{"print"}, "", "takes the key of a print away, in the next version"},
+	{DeedRest, []string{"gate", "zone", "all"}, "wake", "has a gate rest, where these parts of its zone's gates and of all stay awake"},
+	{DeedWake, []string{"gate"}, "", "has a gate rest no longer"},
+	{DeedRestart, []string{"gate", "command"}, "", "has a machine restarted, by a command of yours or, where it is ask, by you"},
+	{DeedHalt, []string{"gate", "command"}, "", "has a machine stopped in the same way"},
+	{DeedStart, []string{"gate", "command"}, "", "has a machine started in the same way"},
 }
 
 func deed(name string) *Deed {
@@ -133,41 +154,58 @@
 // With is the book with params in place of their names. It has to be checked, and
 // all params to be told.
 func (b *Book) With(params map[string]string) *Book {
+	r := fill(params)
+	c := *b
+	c.Title, c.About, c.Before, c.Limits.Keep = r(b.Title), r(b.About), checks(b.Before, r), checks(b.Limits.Keep, r)
+	c.Steps = nil
+	if b.Each.Param != "" {
+		c.Steps = b.spread(params)
+		n := len(ListOf(params[b.Each.Param]))
+		c.Limits.Orders *= n
+		c.Limits.WithinS *= float64(n)
+		return &c
+	}
+	for _, s := range b.Steps {
+		c.Steps = append(c.Steps, s.with(r))
+	}
+	return &c
+}
+
+// fill puts params in place of their names.
+func fill(params map[string]string) func(string) string {
 	var pairs []string
 	for k, v := range params {
 		pairs = append(pairs, "{"+k+"}", v)
 	}
-	r := strings.NewReplacer(pairs...)
-	checks := func(all []Check) (out []Check) {
-		for _, c := range all {
-			out = append(out, Check{r.Replace(c.When), r.Replace(c.Why)})
-		}
-		return out
+	return strings.NewReplacer(pairs...).Replace
+}
+
+func checks(all []Check, r func(string) string) (out []Check) {
+	for _, c := range all {
+		out = append(out, Check{r(c.When), r(c.Why)})
 	}
+	return out
+}
+
+func (s Step) with(r func(string) string) Step {
 	lines := func(all []string) (out []string) {
 		for _, s := range all {
-			out = append(out, r.Replace(s))
+			out = append(out, r(s))
 		}
 		return out
 	}
-	c := *b
-	c.Title, c.About, c.Before, c.Limits.Keep = r.Replace(b.Title), r.Replace(b.About), checks(b.Before), checks(b.Limits.Keep)
-	c.Steps = nil
-	for _, s := range b.Steps {
-		s.About, s.Ask, s.Look, s.Until, s.Needs = r.Replace(s.About), r.Replace(s.Ask), lines(s.Look), lines(s.Until), checks(s.Needs)
-		args := map[string]string{}
-		for k, v := range s.Args {
-			args[k] = r.Replace(v)
-		}
-		s.Args = args
-		choices := s.Choices
-		s.Choices = nil
-		for _, x := range choices {
-			s.Choices = append(s.Choices, Choice{lines(x.When), x.Go})
-		}
-		c.Steps = append(c.Steps, s)
+	s.About, s.Ask, s.Look, s.Until, s.Needs = r(s.About), r(s.Ask), lines(s.Look), lines(s.Until), checks(s.Needs, r)
+	args := map[string]string{}
+	for k, v := range s.Args {
+		args[k] = r(v)
 	}
-	return &c
+	s.Args = args
+	choices := s.Choices
+	s.Choices = nil
+	for _, x := range choices {
+		s.Choices = append(s.Choices, Choice{lines(x.When), x.Go})
+	}
+	return s
 }
 
 // Find is the place of a step, or -1.
--- a/internal/calendar/check.go
+++ b/internal/calendar/check.go
@@ -44,6 +44,7 @@
 	c.text("about", b.About)
 	c.checks("before", b.Before)
 	c.checks("limits.keep", b.Limits.Keep)
+	c.each()
 	clear(seen)
 	for i := range b.Steps {
 		s := &b.Steps[i]
@@ -65,6 +66,28 @@
 	}
 }
 
+// each checks what is to be taken for each value of a list.
+func (c *checker) each() {
+	e := c.b.Each
+	c.text("each.at_once", e.AtOnce)
+	if e.Param == "" {
+		if e.AtOnce != "" {
+			c.fault("each.at_once", "of what? each.param is missing")
+		}
+		return
+	}
+	if !slices.ContainsFunc(c.b.Params, func(p Param) bool { return p.Name == e.Param && p.Kind == "list" }) {
+		c.fault("each.param", "%q: no param of kind list", e.Param)
+	}
+	for key, all := range map[string][]Check{"before": c.b.Before, "limits.keep": c.b.Limits.Keep} {
+		for i, x := range all {
+			if strings.Contains(x.When, "{"+e.Param+"}") {
+				c.fault(fmt.Sprintf("%s.%d.when", key, i), "{%s} is a list here", e.Param)
+			}
+		}
+	}
+}
+
 // text finds places of params that there are not.
 func (c *checker) text(key, text string) {
 	for _, m := range place.FindAllStringSubmatch(text, -1) {
@@ -91,6 +114,9 @@
 
 // to checks a place to go to: only onwards, so that no step comes twice.
 func (c *checker) to(key string, from int, name string) {
+	if name == GoEnd && c.b.Each.Param != "" {
+		c.fault(key, "no end: the steps are taken for each value of a list")
+	}
 	if name == GoEnd || name == GoUndo || name == GoStop {
 		return
 	}
@@ -192,6 +218,12 @@
 		switch {
 		case v == "":
 			fault("param %s is missing: %s", p.Name, p.About)
+		case p.Kind == "command":
+		case p.Kind == "list":
+			list := ListOf(v)
+			if slices.Sort(list); len(list) == 0 || len(list) > mostValues || len(slices.Compact(slices.Clone(list))) != len(list) || strings.ContainsAny(v, "{}@ \t\n") {
+				fault("param %s: %q: no list of 1 to %d different words with commas between", p.Name, v, mostValues)
+			}
 		case p.Kind != "file" && strings.ContainsAny(v, " \t\n{}"):
 			fault("param %s: %q: no spaces and no braces", p.Name, v)
 		case p.Kind == "number":
--- a/internal/calendar/explain.go
+++ b/internal/calendar/explain.go
@@ -27,6 +27,9 @@
 	for _, c := range l.Keep {
 		say("once %s does not hold: %s, because %s", c.When, l.Harm, c.Why)
 	}
+	if b.Each.Param != "" {
+		say("the steps are taken for each value of %s, %s at a time; limits of orders and time count for each", b.Each.Param, or(b.Each.AtOnce, "1"))
+	}
 	for i := range b.Steps {
 		b.Steps[i].explain(i+1, say)
 	}
@@ -71,3 +74,10 @@
 		say("   then goes to %s", s.Next)
 	}
 }
+
+func or(text, none string) string {
+	if text == "" {
+		return none
+	}
+	return text
+}
--- a/internal/calendar/next.go
+++ b/internal/calendar/next.go
@@ -41,6 +41,7 @@
 // Decide tells what is to be done next, by the journal, by what is seen (nil: not
 // looked yet) and by the time. Equal input gives equal output.
 func (r *Run) Decide(seen Facts, now time.Time) any {
+	seen = r.renewed(seen)
 	switch {
 	case r.End != "":
 		return Over{r.End, r.EndText}
--- a/internal/calendar/run.go
+++ b/internal/calendar/run.go
@@ -59,6 +59,10 @@
 	Base  uint64 `json:"base,omitempty"` // the count of the zone's newest order before
 	Count uint64 `json:"-"`              // and once this one holds: written down with the result
 
+	Node    string    `json:"node,omitempty"`  // Drain: it rests. Base of a restart: its life before
+	Least   []float64 `json:"least,omitempty"` // parts of its zone's gates, and of all, that stay awake
+	Command string    `json:"command,omitempty"`
+
 	Gen  uint64 `json:"gen,omitempty"`
 	Body []byte `json:"body,omitempty"`
 	Was  []byte `json:"was,omitempty"` // the configuration before
@@ -102,6 +106,8 @@
 	kept   []string // steps that hold and are never undone
 	failed bool     // to undo something
 	next   uint64
+	past   map[string]int    // by a list's value: its steps before this are passed over
+	lives  map[string]uint64 // of gates that were to be restarted, before that
 }
 
 // Apply takes in the journal's next entry.
@@ -171,6 +177,12 @@
 		r.done = r.done[:len(r.done)-1]
 		r.failed = r.failed || e.Note == Failed
 	case e.Note == Did:
+		if OnMachine(intent.Order.Deed) {
+			if r.lives == nil {
+				r.lives = map[string]uint64{}
+			}
+			r.lives[intent.Order.Node] = intent.Order.Base
+		}
 		if !intent.Order.Nothing {
 			intent.Order.Count = e.Count
 			r.given++
@@ -206,6 +218,7 @@
 	}
 	r.At++
 	r.waits, r.holds = time.Time{}, time.Time{}
+	r.pass()
 }
 
 // to goes to a place; stop and end are past the last step.
@@ -225,7 +238,7 @@
 			r.Why = "a step says undo"
 		}
 	default:
-		r.At = r.Book.Find(place)
+		r.jump(place)
 	}
 }
 
--- a/internal/calendar/tend/tend.go
+++ b/internal/calendar/tend/tend.go
@@ -19,6 +19,7 @@
 	Unclear                  // it may hold or may not
 	Refused                  // it does not hold and will not
 	Overtaken                // another operator's order holds in its place
+	Alone                    // it takes a person, and there is none
 )
 
 // Hands look and act.
@@ -154,6 +155,8 @@
 	switch outcome {
 	case Unclear:
 		return t.later(ctx, text)
+	case Alone:
+		return errors.WithMessagef(ErrHalted, "step %s waits for a person: %s", s.Step, text)
 	case Done:
 		e.Note, e.Count = calendar.Did, s.Order.Count
 	case Refused:
--- a/internal/granary/inspect.go
+++ b/internal/granary/inspect.go
@@ -81,7 +81,7 @@
 			r.Says = fmt.Sprintf("r%d, %d bytes", number, len(body))
 		case zonesFile:
 			err = json.Unmarshal(body, &in.Zones)
-			r.Says = fmt.Sprintf("%d orders about zones", len(in.Zones))
+			r.Says = fmt.Sprintf("%d orders about zones and gates", len(in.Zones))
 		case coreFile:
 			err = json.Unmarshal(body, &in.Core)
 			r.Says = fmt.Sprintf("%d voters known, %d at least; vouches: %v", len(in.Core.Voters), in.Core.Least, in.Core.Vouches)
