--- a/internal/calendar/calendar_test.go
+++ b/internal/calendar/calendar_test.go
@@ -199,3 +199,93 @@
 		assert.Assert(t, strings.Contains(string(text), fmt.Sprintf("| `%s` | %s | %s |", f.Pattern, f.Kind, f.About)), f.Pattern)
 	}
 }
+
+const listed = `name = "l"
+title = "t"
+about = "a"
+[[params]]
+name = "gate"
+about = "g"
+kind = "list"
+[each]
+param = "gate"
+at_once = "2"
+[limits]
+within_s = 60
+late = "stop"
+orders = 2
+harm = "undo"
+[[steps]]
+name = "a"
+kind = "act"
+do = "rest"
+args = { gate = "{gate}", zone = "0", all = "0" }
+undo = true
+[[steps]]
+name = "b"
+kind = "decide"
+choices = [{ when = ["gate.{gate}.ready == true"], go = "d" }]
+otherwise = "c"
+[[steps]]
+name = "c"
+kind = "confirm"
+ask = "{gate}?"
+[[steps]]
+name = "d"
+kind = "act"
+do = "restart"
+args = { gate = "{gate}", command = "x" }
+[[steps]]
+name = "e"
+kind = "wait"
+until = ["gate.{gate}.renewed == true"]
+within_s = 5
+else = "undo"
+`
+
+// The steps of a list are taken for some values at a time; one that jumps passes over its own steps only, and a new
+// life is told by the one that was before the restart.
+func TestEach(t *testing.T) {
+	r := &calendar.Run{}
+	assert.NilError(t, r.Apply(&calendar.Entry{Note: calendar.Began, Book: listed, Params: map[string]string{"gate": "x, y,z"}}))
+	assert.Equal(t, r.Book.Limits.Orders, 6)
+	seen := calendar.Facts{"gate.x.ready": true, "gate.y.ready": false, "gate.z.ready": true, "gate.x.life": 7.0, "gate.y.life": 8.0, "gate.z.life": 8.0}
+	life := map[string]uint64{"x": 6, "y": 7, "z": 8}
+	var way []string
+	now := time.Unix(0, 0)
+	for r.End == "" {
+		var e calendar.Entry
+		switch do := r.Decide(seen, now).(type) {
+		case calendar.Write:
+			e = do.Entry
+		case calendar.Prepare:
+			e = calendar.Entry{Note: calendar.Intends, Step: do.Task.Step, Undo: do.Task.Undo != nil,
+				Order: &calendar.Order{Deed: do.Task.Deed, Node: do.Task.Args["gate"], Base: life[do.Task.Args["gate"]]}}
+		case calendar.Settle:
+			e = calendar.Entry{Note: calendar.Did, Step: do.Step, Undo: do.Undo}
+		case calendar.Ask:
+			e = calendar.Entry{Note: calendar.Agreed, Step: do.Step}
+		case calendar.Pause:
+			now = now.Add(do.For)
+			continue
+		}
+		if e.Note != calendar.Intends && e.Step != "" {
+			way = append(way, strings.TrimSpace(string(e.Note)+" "+e.Step))
+		}
+		e.No, e.At = r.Next(), now
+		assert.NilError(t, r.Apply(&e))
+	}
+	assert.DeepEqual(t, way, strings.Split("did a@x,did a@y,chose b@x,chose b@y,agreed c@y,did d@x,did d@y,waits e@x,passed e@x,waits e@y,passed e@y,"+
+		"did a@z,chose b@z,did d@z,waits e@z,late e@z,did a@z,did a@y,did a@x", ","))
+	assert.Equal(t, r.End, calendar.EndUndone)
+	for _, c := range []struct{ old, new, want string }{
+		{`kind = "list"`, `kind = "word"`, `f:9: each.param: "gate": no param of kind list`},
+		{`otherwise = "c"`, `otherwise = "end"`, `no end: the steps are taken for each value of a list`},
+		{"[limits]", "[[before]]\nwhen = \"gate.{gate}.ready == true\"\nwhy = \"w\"\n[limits]", "{gate} is a list here"},
+	} {
+		_, err := calendar.Read("f", []byte(strings.Replace(listed, c.old, c.new, 1)))
+		assert.ErrorContains(t, err, c.want)
+	}
+	_, err := r.Book.Told(map[string]string{"gate": "x,x"})
+	assert.ErrorContains(t, err, "different words")
+}
