--- /dev/null
+++ b/internal/almanac/bench_test.go
@@ -0,0 +1,62 @@
+package almanac_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"pepperfall.example/pepperfall/api"
+	"pepperfall.example/pepperfall/internal/almanac"
+)
+
+// answers are what five barns tell of a hundred gates.
+func answers() (all [][]byte) {
+	held := api.Version{Gen: "r3", Digest: fmt.Sprintf("%064d", 3)}
+	for i := range 5 {
+		s := &api.Status{Barn: fmt.Sprintf("barn-%d", i), Zone: fmt.Sprintf("z%d", i), At: time.Now(), Voter: true, Vouches: true, Voters: 5, Majority: 3, Held: held, Confirmed: held}
+		for j := range 5 {
+			s.Barns = append(s.Barns, api.BarnView{Name: fmt.Sprintf("barn-%d", j), Zone: fmt.Sprintf("z%d", j), Voter: true, Answered: true, Vouches: true, Held: held})
+		}
+		for j := range 100 {
+			s.Gates = append(s.Gates, api.GateView{Name: fmt.Sprintf("edge-%d", j), Zone: fmt.Sprintf("z%d", j%5), Front: "10.0.0.1:8389", Ready: true, Alive: true, Linked: true, Gen: "r3",
+				HeardMS: int64(i * 100), Life: 1764637869000000000, Figures: &api.Figures{Open: 3, Clients: 40, SpanMS: 4000, Served: 2000}})
+		}
+		text, err := json.Marshal(s)
+		if err != nil {
+			panic(err)
+		}
+		all = append(all, text)
+	}
+	return all
+}
+
+func BenchmarkStatus100(b *testing.B) {
+	texts := answers()
+	b.ReportAllocs()
+	for b.Loop() {
+		var looks []almanac.Look
+		for i, t := range texts {
+			s := &api.Status{}
+			if err := json.Unmarshal(t, s); err != nil {
+				b.Fatal(err)
+			}
+			looks = append(looks, almanac.Look{Addr: ctl(i), Status: s})
+		}
+		v := almanac.Join(time.Now(), looks)
+		almanac.Facts(v)
+		v.Write(io.Discard)
+	}
+}
+
+func BenchmarkWhy100(b *testing.B) {
+	var lines []almanac.Line
+	for i := range 5 * api.MostLines {
+		lines = append(lines, almanac.Line{Barn: fmt.Sprintf("barn-%d", i%5), No: uint64(i), At: time.Now(), Text: "order in force about=node/edge-7 drain=true count=1764637869000"})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		almanac.Why(lines, "9c41")
+	}
+}
--- a/internal/almanac/client.go
+++ b/internal/almanac/client.go
@@ -76,7 +76,7 @@
 
 // New makes a client of the barns at some ctl addresses.
 func New(w world.World, addrs []string) *Client {
-	t := &http.Transport{DialContext: world.DialWithin(w, CallWithin), DisableCompression: true, DisableKeepAlives: true}
+	t := &http.Transport{DialContext: world.DialWithin(w, CallWithin), DisableKeepAlives: true}
 	return &Client{w: w, addrs: addrs, http: &http.Client{Transport: t, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
 		if len(via) > mostJumps {
 			return errors.New("sent on too often")
--- a/internal/barn/operators.go
+++ b/internal/barn/operators.go
@@ -1,6 +1,7 @@
 package barn
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/hex"
 	"encoding/json"
@@ -9,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,7 +60,14 @@
 				return
 			}
 			w.Header().Set("Content-Type", jsonType)
-			_ = json.NewEncoder(w).Encode(told)
+			if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+				_ = json.NewEncoder(w).Encode(told)
+				return
+			}
+			w.Header().Set("Content-Encoding", "gzip") // of a hundred gates, asked every second, it is a part of a thin link
+			z := gzip.NewWriter(w)
+			_ = json.NewEncoder(z).Encode(told)
+			_ = z.Close()
 		})
 	}
 	add(api.OpsStatus, func(r *http.Request) (any, error) { return b.Status(r.Context()), nil })
--- a/internal/calendar/calendar_test.go
+++ b/internal/calendar/calendar_test.go
@@ -246,13 +246,12 @@
 // The steps of a list are taken for some values at a time; one that jumps passes over its own steps only, and a new
 // life is told by the one that was before the restart.
 func TestEach(t *testing.T) {
-	r := &calendar.Run{}
-	assert.NilError(t, r.Apply(&calendar.Entry{Note: calendar.Began, Book: listed, Params: map[string]string{"gate": "x, y,z"}}))
+	r, now := &calendar.Run{}, time.Unix(0, 0)
+	assert.NilError(t, r.Apply(&calendar.Entry{Note: calendar.Began, At: now, Book: listed, Params: map[string]string{"gate": "x, y,z"}}))
 	assert.Equal(t, r.Book.Limits.Orders, 6)
 	seen := calendar.Facts{"gate.x.ready": true, "gate.y.ready": false, "gate.z.ready": true, "gate.x.life": 7.0, "gate.y.life": 8.0, "gate.z.life": 8.0}
 	life := map[string]uint64{"x": 6, "y": 7, "z": 8}
 	var way []string
-	now := time.Unix(0, 0)
 	for r.End == "" {
 		var e calendar.Entry
 		switch do := r.Decide(seen, now).(type) {
--- /dev/null
+++ b/internal/greenhouse/client_test.go
@@ -0,0 +1,105 @@
+package greenhouse
+
+import (
+	"context"
+	"flag"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/almanac"
+	"pepperfall.example/pepperfall/internal/orchard"
+	"pepperfall.example/pepperfall/internal/world"
+)
+
+var clientGates = flag.Int("greenhouse.client", 0, "measure the operators' client against so many gates in each of 5 zones")
+
+// counting is a client's machine that counts what goes over its connections.
+type counting struct {
+	world.World
+	calls, in, out atomic.Int64
+}
+
+func (c *counting) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	x, err := c.World.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c.calls.Add(1)
+	return &counted{x, c}, nil
+}
+
+type counted struct {
+	net.Conn
+	c *counting
+}
+
+func (x *counted) Read(b []byte) (int, error) {
+	n, err := x.Conn.Read(b)
+	x.c.in.Add(int64(n))
+	return n, err
+}
+
+func (x *counted) Write(b []byte) (int, error) {
+	n, err := x.Conn.Write(b)
+	x.c.out.Add(int64(n))
+	return n, err
+}
+
+// TestMeasureClient measures status, why and log. It is a measurement behind a flag, not a check.
+func TestMeasureClient(t *testing.T) {
+	if *clientGates == 0 {
+		t.Skip("needs -greenhouse.client")
+	}
+	synctest.Test(t, func(t *testing.T) {
+		l := measured()
+		for i := range l.Zones {
+			l.Zones[i].Edges = *clientGates
+		}
+		l.Zones = append(l.Zones, orchard.Zone{Name: "west-a", Region: "west", Edges: *clientGates, Cores: 1})
+		g := NewSoil(l.Seed)
+		g.Ways = Ways{200 * time.Microsecond, 900 * time.Microsecond, 20 * time.Millisecond}
+		o := growOn(t, l, g)
+		defer o.close()
+		o.Settle()
+		o.Pass(calm)
+		var ctls []string
+		for _, n := range o.Cores() {
+			ctls = append(ctls, n.Ctl())
+		}
+		ctx := context.Background()
+		w := &counting{World: g.Net.Host("10.252.0.1")}
+		c := almanac.New(w, ctls[:3])
+		round := func(what string, do func()) {
+			calls, in, out, began := w.calls.Load(), w.in.Load(), w.out.Load(), time.Now()
+			do()
+			t.Logf("%s: %v, %d calls, %d bytes in, %d out", what, time.Since(began).Round(100*time.Microsecond), w.calls.Load()-calls, w.in.Load()-in, w.out.Load()-out)
+		}
+		var v *almanac.View
+		all := func(when string) {
+			round("status, "+when, func() { v = c.Look(ctx) })
+			round("log, "+when, func() { c.Lines(ctx) })
+			round("why, "+when, func() {
+				lines, _ := c.Lines(ctx)
+				almanac.Why(lines, "9c41")
+				c.Look(ctx)
+			})
+		}
+		all("first")
+		assert.Equal(t, len(v.Gates), 5**clientGates)
+		o.Pass(3 * time.Second)
+		all("with figures")
+		for _, n := range o.Edges()[:min(10, len(o.Edges()))] {
+			o.Stop(n)
+		}
+		o.Pass(3 * time.Second)
+		all("10 gates silent")
+		o.Stop(o.Core(1))
+		o.Pass(2 * time.Second)
+		all("and a barn dead")
+	})
+}
