--- a/internal/barn/census.go
+++ b/internal/barn/census.go
@@ -29,6 +29,10 @@
 	joined time.Duration // when it began to count; 0: it did from the start
 	risen  time.Duration // when it was first ready after that; 0: it was not yet
 	given  bool          // it has given its parts up
+
+	rests     bool // it would be ready, but for the order to rest
+	figures   *furrow.Figures
+	figuresAt time.Duration
 }
 
 func (g *gate) alive(now time.Duration) bool { return g.up && now-g.heard < furrow.Patience(g.every) }
@@ -44,13 +48,14 @@
 // present then until they have been silent for long.
 type register struct {
 	gates  map[string]*gate
+	rests  map[string]bool // names of those that are to rest
 	sorted []string        // names; nil: not in order yet
 	last   []furrow.Member // as counted last; not written to again
 	spare  []furrow.Member // to count in
 }
 
 func newRegister(names []string, now time.Duration) *register {
-	r := &register{gates: map[string]*gate{}}
+	r := &register{gates: map[string]*gate{}, rests: map[string]bool{}}
 	for _, n := range names {
 		r.gates[n] = &gate{hello: furrow.Hello{Name: n}, heard: now}
 	}
@@ -138,7 +143,7 @@
 	var near, all []*gate
 	for _, n := range r.names() {
 		g := r.gates[n]
-		if !g.ready || g.left > 0 || g.hello.Front == "" || !g.alive(now) {
+		if !g.ready || g.left > 0 || r.rests[n] || g.hello.Front == "" || !g.alive(now) {
 			continue
 		}
 		all = append(all, g)
--- a/internal/node/passing.go
+++ b/internal/node/passing.go
@@ -242,6 +242,7 @@
 		if !s.take(cc) {
 			return false
 		}
+		s.counts.own(turned.status)
 		return s.reply(cc, turned.status, turned.fields, turned.text)
 	}
 	if !s.take(cc) {
@@ -249,6 +250,8 @@
 	}
 	c.conn, r.estate = cc.Conn, c.estate
 	c.estate.front = front{s: s, cc: cc, call: c}
+	s.counts.open.Add(1)
+	defer s.counts.open.Add(-1)
 	s.events <- c
 	for {
 		select {
@@ -280,10 +283,13 @@
 	case cmd.bad != 0:
 		return s.reply(cc, cmd.bad, "", "this request can't be used")
 	case !cmd.refuse && cmd.late:
+		s.counts.own(504)
 		return s.reply(cc, 504, "", "too late")
 	case !cmd.refuse:
+		s.counts.own(502)
 		return s.reply(cc, 502, "", "failed")
 	}
+	s.counts.own(503)
 	fields, status := "", 503
 	if cmd.over {
 		status = 429
@@ -302,7 +308,10 @@
 
 // closing tells the client, where it is so, that this is the connection's last answer.
 func (s *server) closing(cc *clientConn, answer []byte) ([]byte, bool) {
-	over := s.draining.Load() || cc.req.over() || cc.in.unread()
+	if i := len(answerStart); len(answer) > i {
+		s.counts.passed(answer[i])
+	}
+	over := s.draining.Load() || s.resting.Load() || cc.req.over() || cc.in.unread()
 	if over {
 		const more = "Connection: close\r\n"
 		if i := bytes.Index(answer, []byte("\r\n")); i >= 0 {
--- a/internal/node/streams_test.go
+++ b/internal/node/streams_test.go
@@ -211,14 +211,14 @@
 	})
 }
 
-// counted counts what is written through it.
-type counted struct {
+// countedConn counts what is written through it.
+type countedConn struct {
 	net.Conn
 	mu sync.Mutex
 	n  int
 }
 
-func (c *counted) Write(b []byte) (all int, err error) {
+func (c *countedConn) Write(b []byte) (all int, err error) {
 	for len(b) > 0 {
 		n, err := c.Conn.Write(b[:min(len(b), 1024)])
 		c.mu.Lock()
@@ -231,7 +231,7 @@
 	return all, nil
 }
 
-func (c *counted) written() int {
+func (c *countedConn) written() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.n
@@ -246,7 +246,7 @@
 			play(t, false, func(r *rig) {
 				stuck := make(chan bool)
 				h := r.open(func(net.Conn, *http.Request) bool { <-stuck; return true }, nil)
-				c := &counted{Conn: r.dial()}
+				c := &countedConn{Conn: r.dial()}
 				defer c.Close()
 				go func() { _, _ = c.Write(upload("/act/", content(large), chunked)) }()
 				time.Sleep(time.Second)
@@ -260,10 +260,10 @@
 		})
 		t.Run("client", func(t *testing.T) {
 			play(t, false, func(r *rig) {
-				var out *counted
+				var out *countedConn
 				var let error // how the server's sending ended
 				h := r.open(nil, func(c net.Conn, q *http.Request) bool {
-					out = &counted{Conn: c}
+					out = &countedConn{Conn: c}
 					_, err := out.Write(told(q, "200 OK", content(large), chunked))
 					let = err
 					return err == nil
