Keep a ledger of readers' acts and play swaps of gates against it

Need: the proof that sessions outlive their nodes. The stand-in clients knew tries, not what a reader wanted, so nobody could tell an act recorded twice over two tries from one recorded once.

Servers record each run by the act that the query names, whatever the try's id. The ledger joins both: lost, doubled, untrue and unanswered acts are failures; by tenant it tells share served, times, tries, and the widest gap between tenants of one size.

A test may put a process in a world that deceives it (Layout.Plant).

--- a/internal/orchard/client.go
+++ b/internal/orchard/client.go
@@ -35,8 +35,9 @@
 	process      Process
 	http         *http.Client
 
+	idle *purse // the open connections that its clients share
+
 	mu     sync.Mutex
-	idle   map[string][]*line // open connections by gate
 	list   []string
 	until  time.Time
 	asking bool
@@ -47,7 +48,7 @@
 	c := &Clients{o: o, stop: make(chan struct{}), rate: o.layout.Rate}
 	for i, z := range o.layout.Zones {
 		p := o.ground.Machine(o.ground.IP(ClientMachine, i, 0), z.Name, z.Region).Start()
-		c.crowds = append(c.crowds, &crowd{all: c, zone: z.Name, region: z.Region, process: p, idle: map[string][]*line{}, failed: map[string]time.Time{},
+		c.crowds = append(c.crowds, &crowd{all: c, zone: z.Name, region: z.Region, process: p, idle: newPurse(), failed: map[string]time.Time{},
 			http: &http.Client{Transport: &http.Transport{DialContext: p.Dial, DisableKeepAlives: true}}})
 	}
 	return c
@@ -176,28 +177,40 @@
 			return
 		}
 		q := w.all.request(w, x, addr, time.Until(until))
-		end := w.try(q, w.all.o.chance() < 0.7)
-		if end.node {
-			w.mu.Lock()
-			w.failed[addr] = time.Now()
-			w.mu.Unlock()
-		}
-		wait := againAfter
-		switch {
-		case q.Status/100 == 2, slices.Contains([]int{400, 401, 404, 413, 431}, q.Status):
-			return
-		case slices.Contains([]int{429, 503, 408, 421}, q.Status):
-			wait = min(max(wait, end.retryAfter), time.Until(until)/3)
-		case x.route.Kind == "mutating" && !end.unread:
-			return
-		}
-		if time.Until(until) < wait+leastLeft {
+		end := w.try(q, w.idle, w.all.o.chance() >= 0.7)
+		wait, again := w.again(q, end, until)
+		if !again {
 			return
 		}
 		time.Sleep(wait)
 	}
 }
 
+// again tells whether a client sends a request once more after a try, and after what pause.
+func (w *crowd) again(q *Request, end ending, until time.Time) (wait time.Duration, yes bool) {
+	if end.node {
+		w.mu.Lock()
+		w.failed[q.Gate.Front()] = time.Now()
+		w.mu.Unlock()
+	}
+	wait = againAfter
+	switch {
+	case q.Status/100 == 2, denied(q.Status):
+		return 0, false
+	case promised(q.Status):
+		wait = min(max(wait, end.retryAfter), time.Until(until)/3)
+	case q.Kind == "mutating" && !end.unread:
+		return 0, false
+	}
+	return wait, time.Until(until) >= wait+leastLeft
+}
+
+// promised tells whether a status says that the request has not run and never will.
+func promised(status int) bool { return slices.Contains([]int{429, 503, 408, 421}, status) }
+
+// denied tells whether a status says that it is of no use to send the request again.
+func denied(status int) bool { return slices.Contains([]int{400, 401, 404, 413, 431}, status) }
+
 // request notes a try that begins.
 func (c *Clients) request(w *crowd, x wish, addr string, left time.Duration) *Request {
 	c.mu.Lock()
@@ -225,7 +238,7 @@
 	x := wish{route: Route{Host: host, Timeout: 900, Kind: "idempotent"}, method: "GET", path: path, key: key}
 	q := c.request(c.crowds[0], x, address(n.machine.IP(), portHTTP), time.Duration(x.route.Timeout)*time.Millisecond)
 	c.o.Book.probe(q)
-	c.crowds[0].try(q, false)
+	c.crowds[0].try(q, c.crowds[0].idle, true)
 	return q.Status
 }
 
@@ -266,14 +279,7 @@
 		return
 	}
 	w.list, w.until = l.AddrList, time.Now().Add(time.Duration(min(l.TTLS, w.all.o.bounds.TTLMax.Seconds())*float64(time.Second)))
-	for addr, all := range w.idle {
-		if !slices.Contains(w.list, addr) {
-			for _, l := range all {
-				l.c.Close()
-			}
-			delete(w.idle, addr)
-		}
-	}
+	w.idle.prune(w.list)
 }
 
 // lookup asks up to three nodes that serve dir, near ones first.
--- a/internal/orchard/layout.go
+++ b/internal/orchard/layout.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/deed"
+	"pepperfall.example/pepperfall/internal/world"
 )
 
 // Zone is a place with machines of the system.
@@ -39,6 +40,10 @@
 	Rate     float64           // requests a second of all clients
 	Bounds   map[string]string // lines of the settings file in place of the usual ones
 	Spoil    float64           // share of the servers' answers that are spoilt
+	Scripts  [][]string        // sessions of readers, as the names of the routes that they ask for in turn
+
+	// Plant puts a process in a world that deceives it, for faults that a test plants; nil: none.
+	Plant func(n *Node, r Role, p Process) world.World
 }
 
 // Ports of every machine.
--- a/internal/orchard/orchard.go
+++ b/internal/orchard/orchard.go
@@ -21,7 +21,9 @@
 	Platform *Platform
 	Operator *Operator
 	Clients  *Clients
+	Readers  *Readers
 	Book     *Book
+	Ledger   *Ledger
 	bounds   deed.Bounds
 	began    time.Time
 	begun    bool // the first start is over
@@ -50,11 +52,13 @@
 	}
 	o.bounds = set.Terms.Bounds
 	o.Book = newBook(o)
+	o.Ledger = newLedger(o)
 	if o.Platform, err = newPlatform(o, set.Provider.Cloud); err != nil {
 		return nil, err
 	}
 	o.Operator = newOperator(o)
 	o.Clients = newClients(o)
+	o.Readers = &Readers{o: o, press: map[string]float64{}}
 	if err := o.begin(); err != nil {
 		o.Close(closeWithin)
 		return nil, err
--- a/internal/orchard/process.go
+++ b/internal/orchard/process.go
@@ -14,6 +14,7 @@
 	"pepperfall.example/pepperfall/internal/gate"
 	"pepperfall.example/pepperfall/internal/hand"
 	"pepperfall.example/pepperfall/internal/silo"
+	"pepperfall.example/pepperfall/internal/world"
 )
 
 // Role names a process of a machine.
@@ -129,11 +130,15 @@
 	logs := &ring{out: &lines{}}
 	logs.Silo = silo.New(p, 400, logs.out)
 	n.runs[role], n.logs[role] = r, logs
+	w := world.World(p)
+	if o.layout.Plant != nil {
+		w = o.layout.Plant(n, role, p)
+	}
 	var serve func() error
 	switch role {
 	case Gate:
 		n.births = append(n.births, time.Now())
-		g, err := gate.New(set, p, logs.Logger())
+		g, err := gate.New(set, w, logs.Logger())
 		if err != nil {
 			stop()
 			p.Kill()
@@ -143,13 +148,13 @@
 		r.inForce = g.InForce
 		serve = func() error { return g.Run(ctx, r.leave) }
 	case Hand:
-		h := hand.New(hand.ConfigOf(set, p.Now()), p, logs.Logger())
+		h := hand.New(hand.ConfigOf(set, p.Now()), w, logs.Logger())
 		serve = func() error {
 			defer context.AfterFunc(told(ctx, r.leave), func() { h.Leave("told to end") })()
 			return h.Run(ctx)
 		}
 	case Barn:
-		b := barn.New(set, p, n.disk.Mount(), logs.Logger())
+		b := barn.New(set, w, n.disk.Mount(), logs.Logger())
 		b.ShowLog(logs.Silo)
 		serve = func() error { return b.Run(told(ctx, r.leave)) }
 	}
--- a/internal/orchard/server.go
+++ b/internal/orchard/server.go
@@ -227,6 +227,7 @@
 		return false // it was not begun
 	}
 	s.o.Book.ran(v.arrival)
+	s.o.Ledger.ran(r.URL.Query().Get(actField), s)
 	s.o.Pause(s.process, min(s.work(), time.Until(until)))
 	if !time.Now().Before(until) {
 		return v.answer(504, 0)
--- a/internal/orchard/try.go
+++ b/internal/orchard/try.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"pepperfall.example/pepperfall/internal/world"
@@ -27,19 +30,66 @@
 	retryAfter time.Duration
 }
 
+// purse holds idle connections by gate.
+type purse struct {
+	mu   sync.Mutex
+	idle map[string][]*line
+}
+
+func newPurse() *purse { return &purse{idle: map[string][]*line{}} }
+
+// take hands out the newest connection to a gate; nil: there is none.
+func (p *purse) take(addr string) *line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.idle[addr]
+	if len(all) == 0 {
+		return nil
+	}
+	p.idle[addr] = all[:len(all)-1]
+	return all[len(all)-1]
+}
+
+func (p *purse) put(addr string, l *line) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[addr] = append(p.idle[addr], l)
+}
+
+// prune closes the connections to gates that a list lacks.
+func (p *purse) prune(list []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, all := range p.idle {
+		if !slices.Contains(list, addr) {
+			for _, l := range all {
+				l.c.Close()
+			}
+			delete(p.idle, addr)
+		}
+	}
+}
+
+// held is a gate to which there is a connection; "": none.
+func (p *purse) held() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, all := range p.idle {
+		if len(all) > 0 {
+			return addr
+		}
+	}
+	return ""
+}
+
 // open takes an idle connection or opens one.
-func (w *crowd) open(q *Request, keep bool) (*line, error) {
-	addr := address(q.Gate.machine.IP(), portHTTP)
-	for keep {
-		w.mu.Lock()
-		all := w.idle[addr]
-		if len(all) == 0 {
-			w.mu.Unlock()
+func (w *crowd) open(q *Request, p *purse, fresh bool) (*line, error) {
+	addr := q.Gate.Front()
+	for p != nil && !fresh {
+		l := p.take(addr)
+		if l == nil {
 			break
 		}
-		l := all[len(all)-1]
-		w.idle[addr] = all[:len(all)-1]
-		w.mu.Unlock()
 		switch world.Peek(l.c) {
 		case world.PeekQuiet:
 			return l, nil
@@ -57,31 +107,57 @@
 	return &line{c, bufio.NewReader(c)}, nil
 }
 
-// try sends a request and reads its answer.
-func (w *crowd) try(q *Request, keep bool) (end ending) {
+// unread tells whether the other side has read none of the last bytes sent, as far as the network can tell.
+func (l *line) unread(sent int) bool {
+	u, ok := l.c.(interface{ Untaken() int })
+	return ok && u.Untaken() >= sent
+}
+
+// first waits for the answer's first byte; a repeatable request that nobody reads is given up early.
+func (l *line) first(q *Request, until time.Time, sent int) error {
+	if q.Kind == "idempotent" {
+		_ = l.c.SetReadDeadline(time.Now().Add(min(time.Second, time.Until(until)/3)))
+		_, err := l.in.Peek(1)
+		if err == nil || !os.IsTimeout(err) || l.unread(sent) {
+			return err
+		}
+		_ = l.c.SetReadDeadline(until)
+	}
+	_, err := l.in.Peek(1)
+	return err
+}
+
+// try sends a request and reads its answer. The connection comes from the purse unless it is to be a fresh one, and goes
+// there; without a purse it is for this request only.
+func (w *crowd) try(q *Request, p *purse, fresh bool) (end ending) {
 	book := w.all.o.Book
-	l, err := w.open(q, keep)
+	l, err := w.open(q, p, fresh)
 	if err != nil {
 		book.ended(q, "no connection")
 		return ending{node: true, unread: true}
 	}
 	until := q.Sent.Add(q.Deadline)
 	_ = l.c.SetDeadline(until)
-	if _, err := l.c.Write(q.bytes(until, w.all.o.chance() < 0.3)); err != nil {
+	sent := q.bytes(until, w.all.o.chance() < 0.3)
+	if _, err := l.c.Write(sent); err != nil {
 		l.c.Close()
 		book.ended(q, "not sent: "+err.Error())
 		return ending{node: true, unread: true}
 	}
 	book.wrote(q)
-	r, err := http.ReadResponse(l.in, &http.Request{Method: q.Method})
+	var r *http.Response
+	if err = l.first(q, until, len(sent)); err == nil {
+		r, err = http.ReadResponse(l.in, &http.Request{Method: q.Method})
+	}
 	if err != nil {
+		end.unread = l.unread(len(sent))
 		l.c.Close()
 		if !time.Now().Before(until) {
 			book.ended(q, "deadline")
 			return ending{}
 		}
 		book.ended(q, "no answer: "+err.Error())
-		return ending{node: true}
+		return ending{node: true, unread: end.unread}
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -107,14 +183,11 @@
 	if s, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err == nil {
 		end.retryAfter = time.Duration(s * float64(time.Second))
 	}
-	if r.Close {
+	if r.Close || p == nil {
 		l.c.Close()
 		return end
 	}
-	w.mu.Lock()
-	addr := address(q.Gate.machine.IP(), portHTTP)
-	w.idle[addr] = append(w.idle[addr], l)
-	w.mu.Unlock()
+	p.put(q.Gate.Front(), l)
 	return end
 }
 
--- a/internal/orchard/watch.go
+++ b/internal/orchard/watch.go
@@ -45,3 +45,10 @@
 	defer s.mu.Unlock()
 	return s.shown
 }
+
+// Gone is when the server ended; zero: it has not.
+func (s *Server) Gone() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone
+}
--- a/internal/sim/conn.go
+++ b/internal/sim/conn.go
@@ -277,6 +277,13 @@
 // may not have arrived: an attempt on it is out no more.
 func (c *conn) PeerClosed() bool { return c.peer.closed.Load() }
 
+// Untaken is how many of the bytes written here the other side has not read, on their way or there.
+func (c *conn) Untaken() int {
+	c.out.mu.Lock()
+	defer c.out.mu.Unlock()
+	return c.out.sent
+}
+
 // SetLinger with 0 makes Close a reset.
 func (c *conn) SetLinger(int) error {
 	if c.owner != nil {
