--- a/internal/greenhouse/deceit_test.go
+++ b/internal/greenhouse/deceit_test.go
@@ -13,9 +13,10 @@
 // deceit is a process' world that is not as it seems.
 type deceit struct {
 	orchard.Process
-	shift time.Duration                       // its time of day is so far off
-	front func(c net.Conn) net.Conn           // changes what passes on connections that clients opened
-	dial  func(f *furrow.Frame, in bool) bool // looks at what passes on those that it opened; false: it is dropped
+	shift  time.Duration                       // its time of day is so far off
+	front  func(c net.Conn) net.Conn           // changes what passes on connections that clients opened
+	redial time.Duration                       // the first connection that it opens to one of the system lasts so long; 0: as long as it may
+	dial   func(f *furrow.Frame, in bool) bool // looks at what passes on those that it opened; false: it is dropped
 }
 
 func (d *deceit) Now() time.Time { return time.Now().Add(d.shift) }
@@ -26,6 +27,10 @@
 		return nil, err
 	}
 	if d.dial != nil && inner(address) {
+		if d.redial > 0 {
+			time.AfterFunc(d.redial, func() { c.Close() })
+			d.redial = 0
+		}
 		return d.relay(c, d.dial), nil
 	}
 	return d.shifted(c), nil
--- /dev/null
+++ b/internal/greenhouse/sessions_fault_test.go
@@ -0,0 +1,160 @@
+package greenhouse
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/orchard"
+	"pepperfall.example/pepperfall/internal/world"
+)
+
+// answers changes what a gate writes to clients.
+type answers struct {
+	passed
+	change func(c *answers, b []byte) []byte // nil: nothing is written, and the connection is closed
+}
+
+func (c *answers) Write(b []byte) (int, error) {
+	to := c.change(c, b)
+	if to == nil {
+		return len(b), c.Close()
+	}
+	_, err := c.Conn.Write(to)
+	return len(b), err
+}
+
+var (
+	closing  = []byte("Connection: close\r\n")
+	promises = [][]byte{[]byte("HTTP/1.1 503"), []byte("HTTP/1.1 429")}
+)
+
+// writes is a gate that spoils its answers.
+func writes(change func(p orchard.Process, b []byte) []byte) func(p orchard.Process) *deceit {
+	return func(p orchard.Process) *deceit {
+		return &deceit{Process: p, front: func(c net.Conn) net.Conn {
+			return &answers{passed{c}, func(_ *answers, b []byte) []byte { return change(p, b) }}
+		}}
+	}
+}
+
+// says is a process that says, or hears, something else to or from the one that it called.
+func says(look func(f *furrow.Frame, in bool) bool) func(p orchard.Process) *deceit {
+	return func(p orchard.Process) *deceit { return &deceit{Process: p, dial: look} }
+}
+
+// Faults of a gate or a hand, each of which a story has to catch.
+var plantedFaults = []struct {
+	name   string
+	role   orchard.Role
+	plant  func(p orchard.Process) *deceit
+	story  string
+	caught string // what the first words of a fault found have to be
+}{
+	{"the last answers are thrown away", orchard.Gate, writes(func(_ orchard.Process, b []byte) []byte {
+		if bytes.Contains(b, closing) {
+			return nil
+		}
+		return b
+	}), "one by one", orchard.ActUnanswered},
+
+	{"serves on without Connection: close and is cut", orchard.Gate, writes(func(p orchard.Process, b []byte) []byte {
+		if bytes.Contains(b, closing) {
+			time.AfterFunc(300*time.Millisecond, p.Kill)
+			return bytes.Replace(b, closing, nil, 1)
+		}
+		return b
+	}), "come and go", orchard.ActUnanswered},
+
+	{"gives up what runs with 503", orchard.Gate, writes(func(_ orchard.Process, b []byte) []byte {
+		if bytes.Contains(b, closing) {
+			return []byte("HTTP/1.1 503 Later\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		}
+		return b
+	}), "one by one", orchard.ActDoubled},
+
+	{"says done to what it turns away", orchard.Gate, writes(func(_ orchard.Process, b []byte) []byte {
+		for _, no := range promises {
+			if bytes.HasPrefix(b, no) {
+				return append([]byte("HTTP/1.1 200"), b[len(no):]...)
+			}
+		}
+		return b
+	}), "zone by zone, pressed", orchard.ActLost},
+
+	{"ready before anything is known", orchard.Gate, func(p orchard.Process) *deceit {
+		began := time.Now()
+		return &deceit{Process: p, dial: func(f *furrow.Frame, in bool) bool {
+			if f.Ping != nil {
+				f.Ping.Ready = true
+			}
+			return !in || f.Change == nil || time.Since(began) > 3*time.Second
+		}, redial: 3 * time.Second}
+	}, "one by one", "TURNED"},
+
+	{"shares are given to more than one", orchard.Gate, says(func(f *furrow.Frame, in bool) bool {
+		if in && f.Change != nil && f.Change.Census != nil {
+			f.Change.Census.Shares = 1
+			for i := range f.Change.Census.Gates { // else they tell each other what passes
+				f.Change.Census.Gates[i].Alive = false
+			}
+		}
+		return true
+	}), "zone by zone, pressed", "QUOTA"},
+
+	{"closes what is open as soon as it is told", orchard.Gate, func(p orchard.Process) *deceit {
+		var mu sync.Mutex
+		var open []net.Conn
+		return &deceit{Process: p, front: func(c net.Conn) net.Conn {
+			mu.Lock()
+			defer mu.Unlock()
+			open = append(open, c)
+			return c
+		}, dial: func(f *furrow.Frame, in bool) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, c := range open {
+				if !in && f.Leaving != nil {
+					_ = c.Close()
+				}
+			}
+			return true
+		}}
+	}, "come and go", orchard.ActUnanswered},
+}
+
+func TestPlantedFaultsAreCaught(t *testing.T) {
+	t.Parallel()
+	for _, x := range plantedFaults {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			st, l := sessionStories[x.story], readers()
+			if st.layout != nil {
+				st.layout(&l)
+			}
+			var mu sync.Mutex
+			l.Plant = func(_ *orchard.Node, r orchard.Role, p orchard.Process) world.World {
+				mu.Lock()
+				defer mu.Unlock()
+				if r == x.role {
+					return x.plant(p)
+				}
+				return p
+			}
+			s := st.grown(t, l)
+			var seen []string
+			for _, f := range st.faults(s) {
+				if strings.HasPrefix(f, x.caught) {
+					t.Logf("caught: %.300s", f)
+					return
+				}
+				seen = append(seen, f)
+			}
+			t.Errorf("no %s in %q, but %d others: %.1200s\n%s", x.caught, x.story, len(seen), strings.Join(seen, "\n"), s.acts)
+		})
+	}
+}
--- a/internal/orchard/ledger.go
+++ b/internal/orchard/ledger.go
@@ -107,6 +107,13 @@
 // Share is the part of its acts that was served.
 func (g *Group) Share() float64 { return float64(g.Served) / math.Max(1, float64(g.Acts)) }
 
+// Add adds another group's acts, their times at the end.
+func (g *Group) Add(x *Group) {
+	g.Acts, g.Served, g.Refused, g.Denied = g.Acts+x.Acts, g.Served+x.Served, g.Refused+x.Refused, g.Denied+x.Denied
+	g.Unclear, g.Tries, g.Turned = g.Unclear+x.Unclear, g.Tries+x.Tries, g.Turned+x.Turned
+	g.Took = append(g.Took, x.Took...)
+}
+
 // Quantile is the time within which so much of what was served was served.
 func (g *Group) Quantile(part float64) time.Duration {
 	return (&Tally{Took: g.Took}).Quantile(part)
@@ -122,9 +129,7 @@
 func (c *Account) Sum() *Group {
 	sum := &Group{Tenant: "all"}
 	for _, g := range c.Groups {
-		sum.Acts, sum.Served, sum.Refused, sum.Denied = sum.Acts+g.Acts, sum.Served+g.Served, sum.Refused+g.Refused, sum.Denied+g.Denied
-		sum.Unclear, sum.Tries, sum.Turned = sum.Unclear+g.Unclear, sum.Tries+g.Tries, sum.Turned+g.Turned
-		sum.Took = append(sum.Took, g.Took...)
+		sum.Add(g)
 	}
 	slices.Sort(sum.Took)
 	return sum
