--- a/internal/greenhouse/deceit_test.go
+++ b/internal/greenhouse/deceit.go
@@ -10,33 +10,36 @@
 	"pepperfall.example/pepperfall/internal/world"
 )
 
-// deceit is a process' world that is not as it seems.
-type deceit struct {
+// Deceit is a process' world that is not as it seems.
+type Deceit struct {
 	orchard.Process
-	shift  time.Duration                       // its time of day is so far off
-	front  func(c net.Conn) net.Conn           // changes what passes on connections that clients opened
-	redial time.Duration                       // the first connection that it opens to one of the system lasts so long; 0: as long as it may
-	dial   func(f *furrow.Frame, in bool) bool // looks at what passes on those that it opened; false: it is dropped
+	Shift   time.Duration                       // its time of day is so far off
+	Front   func(c net.Conn) net.Conn           // changes what passes on connections that clients opened
+	Redial  time.Duration                       // the first connection that it opens to one of the system lasts so long; 0: as long as it may
+	Dialled func(f *furrow.Frame, in bool) bool // looks at what passes on those that it opened; false: it is dropped
 }
 
-func (d *deceit) Now() time.Time { return time.Now().Add(d.shift) }
+// Now is the time of day that the process believes in.
+func (d *Deceit) Now() time.Time { return time.Now().Add(d.Shift) }
 
-func (d *deceit) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+// Dial opens a connection, and listens in where it is one to a process of the system.
+func (d *Deceit) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d.Process.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	if d.dial != nil && inner(address) {
-		if d.redial > 0 {
-			time.AfterFunc(d.redial, func() { c.Close() })
-			d.redial = 0
+	if d.Dialled != nil && inner(address) {
+		if d.Redial > 0 {
+			time.AfterFunc(d.Redial, func() { c.Close() })
+			d.Redial = 0
 		}
-		return d.relay(c, d.dial), nil
+		return d.relay(c, d.Dialled), nil
 	}
 	return d.shifted(c), nil
 }
 
-func (d *deceit) Listen(ctx context.Context, network, address string) (net.Listener, error) {
+// Listen opens a door whose visitors may be deceived.
+func (d *Deceit) Listen(ctx context.Context, network, address string) (net.Listener, error) {
 	l, err := d.Process.Listen(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -47,7 +50,7 @@
 // deceived is a listener of such a process.
 type deceived struct {
 	net.Listener
-	d  *deceit
+	d  *Deceit
 	at string
 }
 
@@ -59,8 +62,8 @@
 	switch _, port, _ := net.SplitHostPort(l.at); {
 	case port == readyPort: // served by net/http, which goes by a clock of its own
 		return c, nil
-	case port == frontPort && l.d.front != nil:
-		c = l.d.front(c)
+	case port == frontPort && l.d.Front != nil:
+		c = l.d.Front(c)
 	}
 	return l.d.shifted(c), nil
 }
@@ -102,11 +105,11 @@
 }
 
 // shifted is a connection whose deadlines come from a clock that is off.
-func (d *deceit) shifted(c net.Conn) net.Conn {
-	if d.shift == 0 {
+func (d *Deceit) shifted(c net.Conn) net.Conn {
+	if d.Shift == 0 {
 		return c
 	}
-	return &late{passed{c}, d.shift}
+	return &late{passed{c}, d.Shift}
 }
 
 type late struct {
@@ -126,7 +129,7 @@
 func (c *late) SetWriteDeadline(t time.Time) error { return c.Conn.SetWriteDeadline(c.true(t)) }
 
 // relay stands between a process and one that it called: look sees each frame, and may change or drop it.
-func (d *deceit) relay(c net.Conn, look func(f *furrow.Frame, in bool) bool) net.Conn {
+func (d *Deceit) relay(c net.Conn, look func(f *furrow.Frame, in bool) bool) net.Conn {
 	mine, other := net.Pipe()
 	near, far := furrow.New(other, world.Real{}), furrow.New(c, world.Real{})
 	near.SetSilence(0)
--- a/internal/greenhouse/measure_test.go
+++ b/internal/greenhouse/measure_test.go
@@ -29,8 +29,7 @@
 const (
 	tick     = 500 * time.Microsecond // between looks at versions
 	dirTick  = 10 * time.Millisecond  // between lookups
-	calm     = 4 * time.Second
-	leadBack = 8 * time.Second // until a lead that was cut off is taken again
+	leadBack = 8 * time.Second        // until a lead that was cut off is taken again
 	noneYet  = 30 * time.Second
 )
 
--- /dev/null
+++ b/internal/greenhouse/season.go
@@ -0,0 +1,176 @@
+package greenhouse
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/orchard"
+)
+
+const calm = 4 * time.Second // before anything happens
+
+// Season is what came of a story about sessions.
+type Season struct {
+	*House
+	mu     sync.Mutex
+	jobs   sync.WaitGroup
+	Leaves []time.Duration // how long each leave took
+	Unfit  []string
+	Breaks []orchard.Break
+	Acts   *orchard.Account
+	Asked  *orchard.Account // of searches alone
+	lasted time.Duration    // of what was played
+}
+
+// Story is one about sessions, and the bounds in which its acts have to be beside that none is broken.
+type Story struct {
+	Layout func(l *orchard.Layout)
+	Play   func(s *Season)
+	Served float64 // the least share of acts
+	Gap    float64 // the most between tenants of one size
+	Turned float64 // the most tries that are answered with a promise, of all acts
+	Tries  float64 // the most tries an act; 0: 1.03
+	But    string  // a tenant that counts for none of these
+}
+
+// Library is a cluster whose readers search, lend and pay.
+func Library() orchard.Layout {
+	service := func(name string, work time.Duration) orchard.Service {
+		return orchard.Service{Name: name, Each: 2, Capacity: 5, Work: work, MaxConns: 100, Warmup: 3 * time.Second, WarmPerS: 21}
+	}
+	l := orchard.Layout{
+		Seed: 1,
+		Zones: []orchard.Zone{{Name: "north-a", Region: "north", Edges: 2, Cores: 1}, {Name: "north-b", Region: "north", Edges: 1, Cores: 1},
+			{Name: "south-a", Region: "south", Edges: 2, Cores: 1}, {Name: "south-b", Region: "south", Edges: 1, Cores: 1}},
+		Services: []orchard.Service{service("catalog", 60*time.Millisecond), service("loans", 80*time.Millisecond), service("fines", 40*time.Millisecond)},
+		Routes: []orchard.Route{
+			{Name: "search", Host: "one.example", Prefix: "/find/", Kind: "idempotent", Timeout: 2000, Target: 500, Prio: 2, Backend: "catalog", Tries: 2},
+			{Name: "lend", Host: "one.example", Prefix: "/lend/", Kind: "mutating", Timeout: 2500, Target: 600, Prio: 1, Backend: "loans", Tries: 2},
+			{Name: "pay", Host: "two.example", Prefix: "/", Kind: "mutating", Timeout: 1500, Target: 400, Backend: "fines", Tries: 2},
+		},
+		Scripts: [][]string{{"search", "lend", "pay"}, {"search", "search", "lend"}, {"search"}},
+		Rate:    2,
+	}
+	for i, name := range []string{"ana", "ion", "eva", "dan", "uta"} {
+		t := orchard.Tenant{Name: name, Keys: []string{"key-" + name}, Weight: 1, Rate: 30, Burst: 30}
+		if i < 2 {
+			t.Weight, t.Rate, t.Burst = 3, 60, 60
+		}
+		l.Tenants = append(l.Tenants, t)
+	}
+	return l
+}
+
+// Grown plays a story of a layout and settles it.
+func (st *Story) Grown(t *testing.T, l orchard.Layout) (s *Season) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		o := grow(t, l)
+		defer o.close()
+		o.Settle()
+		o.Clients.Start()
+		s = &Season{House: o}
+		o.Pass(calm)
+		st.Play(s)
+		s.jobs.Wait()
+		o.Pass(2 * time.Second)
+		s.Breaks = o.Finish()
+		s.Acts = o.Ledger.Settle(time.Time{}, time.Now())
+		s.Asked = o.Ledger.Settle(time.Time{}, time.Now(), "idempotent")
+	})
+	return s
+}
+
+// Faults are all that is wrong, broken rules first.
+func (st *Story) Faults(s *Season) (all []string) {
+	for _, b := range slices.Concat(s.Breaks, s.Acts.Broken) {
+		all = append(all, b.String())
+	}
+	all = append(all, s.Unfit...)
+	sum := s.Acts.Sum()
+	acts, served, turned, tries := 0, 0, 0, 0
+	for _, g := range s.Acts.Groups {
+		if g.Tenant != st.But {
+			acts, served, turned, tries = acts+g.Acts, served+g.Served, turned+g.Turned, tries+g.Tries
+		}
+	}
+	if sum.Acts < 100 {
+		all = append(all, fmt.Sprintf("no more than %d acts", sum.Acts))
+	}
+	if float64(served) < st.Served*float64(acts) {
+		all = append(all, fmt.Sprintf("SHARE: %d of %d acts served", served, acts))
+	}
+	if gap := s.Acts.Gap(st.But); gap > st.Gap {
+		all = append(all, fmt.Sprintf("GAP: %.3f between tenants of one size", gap))
+	}
+	if most := cmp.Or(st.Tries, 1.03); float64(tries) > most*float64(acts) {
+		all = append(all, fmt.Sprintf("TRIES: %d of %d acts", tries, acts))
+	}
+	if float64(turned) > st.Turned*float64(acts) {
+		all = append(all, fmt.Sprintf("TURNED: %d tries of %d acts", turned, acts))
+	}
+	return all
+}
+
+// Beside goes on while the story does.
+func (s *Season) Beside(f func()) { s.jobs.Go(f) }
+
+// Leave tells a gate to end and notes how long it takes.
+func (s *Season) Leave(n *orchard.Node) {
+	began := time.Now()
+	s.Terminate(n)
+	took := time.Since(began)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Leaves = append(s.Leaves, took); took > s.Bounds().Grace {
+		s.Unfit = append(s.Unfit, fmt.Sprintf("%s took %v to leave", n.Name, took))
+	}
+}
+
+// Swap lets a gate leave and come again, and waits until it is ready.
+func (s *Season) Swap(n *orchard.Node) {
+	s.Leave(n)
+	s.Start(n)
+	if !s.Orchard.Await(10*time.Second, n.Ready) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.Unfit = append(s.Unfit, n.Name+" is not ready again")
+	}
+}
+
+// SwapTogether swaps some gates at once.
+func (s *Season) SwapTogether(all ...*orchard.Node) {
+	var jobs sync.WaitGroup
+	for _, n := range all {
+		jobs.Go(func() { s.Swap(n) })
+	}
+	jobs.Wait()
+}
+
+// SwapZones swaps the gates of a zone at once, zone after zone.
+func (s *Season) SwapZones() {
+	for _, z := range s.Orchard.Layout().Zones {
+		s.SwapTogether(slices.DeleteFunc(s.Edges(), func(n *orchard.Node) bool { return n.Zone != z.Name })...)
+		s.Pass(time.Second)
+	}
+}
+
+// SwapAll swaps gate after gate.
+func (s *Season) SwapAll() {
+	for _, n := range s.Edges() {
+		s.Swap(n)
+		s.Pass(time.Second)
+	}
+}
+
+// UsualReaders come on connections of their own, shared ones and new ones.
+func (s *Season) UsualReaders() {
+	s.Readers.Start(7, orchard.Own)
+	s.Readers.Start(7, orchard.Shared)
+	s.Readers.Start(4, orchard.Fresh)
+}
--- a/internal/greenhouse/sessions_fault_test.go
+++ b/internal/greenhouse/sessions_fault_test.go
@@ -34,24 +34,24 @@
 )
 
 // writes is a gate that spoils its answers.
-func writes(change func(p orchard.Process, b []byte) []byte) func(p orchard.Process) *deceit {
-	return func(p orchard.Process) *deceit {
-		return &deceit{Process: p, front: func(c net.Conn) net.Conn {
+func writes(change func(p orchard.Process, b []byte) []byte) func(p orchard.Process) *Deceit {
+	return func(p orchard.Process) *Deceit {
+		return &Deceit{Process: p, Front: func(c net.Conn) net.Conn {
 			return &answers{passed{c}, func(_ *answers, b []byte) []byte { return change(p, b) }}
 		}}
 	}
 }
 
 // says is a process that says, or hears, something else to or from the one that it called.
-func says(look func(f *furrow.Frame, in bool) bool) func(p orchard.Process) *deceit {
-	return func(p orchard.Process) *deceit { return &deceit{Process: p, dial: look} }
+func says(look func(f *furrow.Frame, in bool) bool) func(p orchard.Process) *Deceit {
+	return func(p orchard.Process) *Deceit { return &Deceit{Process: p, Dialled: look} }
 }
 
 // Faults of a gate or a hand, each of which a story has to catch.
 var plantedFaults = []struct {
 	name   string
 	role   orchard.Role
-	plant  func(p orchard.Process) *deceit
+	plant  func(p orchard.Process) *Deceit
 	story  string
 	caught string // what the first words of a fault found have to be
 }{
@@ -86,14 +86,14 @@
 		return b
 	}), "zone by zone, pressed", orchard.ActLost},
 
-	{"ready before anything is known", orchard.Gate, func(p orchard.Process) *deceit {
+	{"ready before anything is known", orchard.Gate, func(p orchard.Process) *Deceit {
 		began := time.Now()
-		return &deceit{Process: p, dial: func(f *furrow.Frame, in bool) bool {
+		return &Deceit{Process: p, Dialled: func(f *furrow.Frame, in bool) bool {
 			if f.Ping != nil {
 				f.Ping.Ready = true
 			}
 			return !in || f.Change == nil || time.Since(began) > 3*time.Second
-		}, redial: 3 * time.Second}
+		}, Redial: 3 * time.Second}
 	}, "one by one", "TURNED"},
 
 	{"shares are given to more than one", orchard.Gate, says(func(f *furrow.Frame, in bool) bool {
@@ -106,15 +106,15 @@
 		return true
 	}), "zone by zone, pressed", "QUOTA"},
 
-	{"closes what is open as soon as it is told", orchard.Gate, func(p orchard.Process) *deceit {
+	{"closes what is open as soon as it is told", orchard.Gate, func(p orchard.Process) *Deceit {
 		var mu sync.Mutex
 		var open []net.Conn
-		return &deceit{Process: p, front: func(c net.Conn) net.Conn {
+		return &Deceit{Process: p, Front: func(c net.Conn) net.Conn {
 			mu.Lock()
 			defer mu.Unlock()
 			open = append(open, c)
 			return c
-		}, dial: func(f *furrow.Frame, in bool) bool {
+		}, Dialled: func(f *furrow.Frame, in bool) bool {
 			mu.Lock()
 			defer mu.Unlock()
 			for _, c := range open {
@@ -132,9 +132,9 @@
 	for _, x := range plantedFaults {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			st, l := sessionStories[x.story], readers()
-			if st.layout != nil {
-				st.layout(&l)
+			st, l := sessionStories[x.story], Library()
+			if st.Layout != nil {
+				st.Layout(&l)
 			}
 			var mu sync.Mutex
 			l.Plant = func(_ *orchard.Node, r orchard.Role, p orchard.Process) world.World {
@@ -145,16 +145,16 @@
 				}
 				return p
 			}
-			s := st.grown(t, l)
+			s := st.Grown(t, l)
 			var seen []string
-			for _, f := range st.faults(s) {
+			for _, f := range st.Faults(s) {
 				if strings.HasPrefix(f, x.caught) {
 					t.Logf("caught: %.300s", f)
 					return
 				}
 				seen = append(seen, f)
 			}
-			t.Errorf("no %s in %q, but %d others: %.1200s\n%s", x.caught, x.story, len(seen), strings.Join(seen, "\n"), s.acts)
+			t.Errorf("no %s in %q, but %d others: %.1200s\n%s", x.caught, x.story, len(seen), strings.Join(seen, "\n"), s.Acts)
 		})
 	}
 }
--- a/internal/greenhouse/sessions_measure_test.go
+++ b/internal/greenhouse/sessions_measure_test.go
@@ -14,21 +14,21 @@
 // swapDays are the kinds of days that are measured, in turn.
 var swapDays = []struct {
 	name string
-	play func(s *season) // without a swap only its readers come
+	play func(s *Season) // without a swap only its readers come
 	but  string          // a tenant whose share is no matter
 }{
-	{"each gate in its turn", (*season).swapAll, ""},
-	{"two at a time", func(s *season) {
+	{"each gate in its turn", (*Season).SwapAll, ""},
+	{"two at a time", func(s *Season) {
 		for i := range 3 {
-			s.swapTogether(s.Edge(i), s.Edge(i+3))
+			s.SwapTogether(s.Edge(i), s.Edge(i+3))
 			s.Pass(time.Second)
 		}
 	}, ""},
-	{"a zone at a time", (*season).swapZones, ""},
-	{"a zone at a time, 1.5 times as much, one tenant 8 times", (*season).swapZones, pressed},
-	{"half leave", func(s *season) {
+	{"a zone at a time", (*Season).SwapZones, ""},
+	{"a zone at a time, 1.5 times as much, one tenant 8 times", (*Season).SwapZones, pressed},
+	{"half leave", func(s *Season) {
 		for i := range 3 {
-			s.leave(s.Edge(2 * i))
+			s.Leave(s.Edge(2 * i))
 			s.Pass(2 * time.Second)
 		}
 		s.Pass(calm)
@@ -40,41 +40,33 @@
 
 const pressed = "eva"
 
-func (s *season) swapZones() {
-	for i := range 3 {
-		s.swapTogether(s.Edge(2*i), s.Edge(2*i+1))
-		s.Pass(time.Second)
-	}
-}
-
 // swapSum is what some days came to.
 type swapSum struct {
-	mu                   sync.Mutex
-	days, broken, rules  int
-	acts                 *orchard.Account // of all days, by tenant
-	searches, calm       []time.Duration
-	leaves               times
-	calmActs, calmTurned int
-	worstGap             float64
-	groups               map[string]*orchard.Group
+	mu                    sync.Mutex
+	days, broken, rules   int
+	acts                  *orchard.Account // of all days, by tenant
+	searches, calm        []time.Duration
+	leaves                times
+	calmTries, calmTurned int
+	worstGap              float64
+	groups                map[string]*orchard.Group
 }
 
-func (w *swapSum) add(s, quiet *season, but string) {
+func (w *swapSum) add(s, quiet *Season, but string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.days++
-	w.broken += len(s.acts.Broken)
-	w.rules += len(s.breaks) + len(s.unfit)
-	w.worstGap = math.Max(w.worstGap, s.acts.Gap(but))
-	w.leaves = append(w.leaves, s.leaves...)
-	w.searches = append(w.searches, s.asked...)
-	w.calm = append(w.calm, quiet.asked...)
-	sum := quiet.acts.Sum()
-	w.calmActs, w.calmTurned = w.calmActs+sum.Acts, w.calmTurned+sum.Turned
-	for _, g := range s.acts.Groups {
+	w.broken += len(s.Acts.Broken)
+	w.rules += len(s.Breaks) + len(s.Unfit)
+	w.worstGap = math.Max(w.worstGap, s.Acts.Gap(but))
+	w.leaves = append(w.leaves, s.Leaves...)
+	for i, g := range s.Acts.Groups {
 		if g.Tenant == but {
 			continue
 		}
+		w.searches = append(w.searches, s.Asked.Groups[i].Took...)
+		w.calm = append(w.calm, quiet.Asked.Groups[i].Took...)
+		w.calmTries, w.calmTurned = w.calmTries+quiet.Acts.Groups[i].Tries, w.calmTurned+quiet.Acts.Groups[i].Turned
 		if w.groups[g.Tenant] == nil {
 			w.groups[g.Tenant] = &orchard.Group{Tenant: g.Tenant, Size: g.Size}
 		}
@@ -99,10 +91,10 @@
 		"99th of searches with a swap %v, without %v: %.3f (median %v, %v)\n"+
 		"widest gap of served share: %.4f over all days, %.4f on the worst single one\n"+
 		"a leave takes: %v, grace %v\n"+
-		"tries with 429 or 503: %d of %d tries, without a swap %d of %d acts\n%s",
+		"tries with 429 or 503: %d of %d tries, without a swap %d of %d\n%s",
 		w.days, sum.Acts, w.broken, w.rules, with.Round(time.Millisecond), without.Round(time.Millisecond),
 		with.Seconds()/max(without.Seconds(), 1e-9), at(w.searches, 0.5).Round(time.Millisecond), at(w.calm, 0.5).Round(time.Millisecond),
-		c.Gap(), w.worstGap, w.leaves, 6*time.Second, sum.Turned, sum.Tries, w.calmTurned, w.calmActs, c)
+		c.Gap(), w.worstGap, w.leaves, 6*time.Second, sum.Turned, sum.Tries, w.calmTurned, w.calmTries, c)
 }
 
 // TestMeasureSessions plays days on which gates are swapped in a busy hour, and each once more without a swap. It is a
@@ -121,27 +113,27 @@
 			t.Run(fmt.Sprint(i+1), func(t *testing.T) {
 				t.Parallel()
 				d := swapDays[i%len(swapDays)]
-				l := readers()
+				l := Library()
 				l.Seed = uint64(i + 1)
 				for k := range l.Services {
 					l.Services[k].Capacity = 1 // so that they are busy
 				}
-				day := func(play func(s *season)) *season {
-					return (&sessionStory{play: func(s *season) {
+				day := func(play func(s *Season)) *Season {
+					return (&Story{Play: func(s *Season) {
 						s.busyReaders(d.but)
 						began := time.Now()
 						play(s)
 						s.lasted = time.Since(began)
-					}}).grown(t, l)
+					}}).Grown(t, l)
 				}
 				s := day(d.play)
-				quiet := day(func(q *season) { q.Pass(s.lasted) })
+				quiet := day(func(q *Season) { q.Pass(s.lasted) })
 				sums[d.name].add(s, quiet, d.but)
 				all.add(s, quiet, d.but)
-				for _, b := range slices.Concat(s.breaks, s.acts.Broken) {
+				for _, b := range slices.Concat(s.Breaks, s.Acts.Broken) {
 					t.Log(b)
 				}
-				for _, b := range s.unfit {
+				for _, b := range s.Unfit {
 					t.Log(b)
 				}
 			})
@@ -153,13 +145,13 @@
 	t.Logf("all: %s", all)
 }
 
-// busyReaders are usualReaders half as many again, by one tenant many times its usual.
-func (s *season) busyReaders(press string) {
-	s.Readers.Pace(1.4)
+// busyReaders are UsualReaders half as many again, by one tenant many times its usual.
+func (s *Season) busyReaders(press string) {
+	s.Readers.Pace(1.7)
 	if press != "" {
-		s.Readers.Pace(2.1)
+		s.Readers.Pace(2.55)
 		s.Readers.Press(press, 8)
 	}
-	s.usualReaders()
+	s.UsualReaders()
 	s.Readers.Start(4, orchard.Own)
 }
