Ask for lending from half of a part on, before it is used up

A gate asked for just about its even part of a tenant's rate (5 to 6 of 5.25 a second, the tenant 13 to 18 of 31.5, shared estimate at 29 units) asked nobody to lend, as only its mean demand beyond the part counts, while bursts emptied it. Change: where gates serve many services, what a peer uses beyond half of its part counts as asked for.

--- a/policy/field_test.go
+++ b/policy/field_test.go
@@ -248,6 +248,28 @@
 	}
 }
 
+// A gateway that has just come, and is asked for about its part of a small tenant's rate, borrows for the bursts of it:
+// the tenant as a whole asks for less than half of its rate.
+func TestPartIsLentBeforeItIsUsedUp(t *testing.T) {
+	asked, passed := 0, 0
+	for seed := range uint64(6) {
+		m := newMeadow(6, seed, fieldServers(4, "s"), limited(30, 30))
+		m.now += time.Minute
+		m.start(0, 0)
+		m.pass(time.Second, nil)
+		m.pass(10*time.Second, func() {
+			for i, perS := range []float64{7, 1.5, 1.5, 1.5, 1.5, 1.5} {
+				if m.rnd.Float64() < perS/100 {
+					asked++
+					m.ask(i, Request{Customer: "t", Plan: "t", Class: "safe", Service: "s"})
+				}
+			}
+		})
+		passed += len(m.sends)
+	}
+	assert.Assert(t, float64(passed) >= 0.99*float64(asked), "%d of %d passed", passed, asked)
+}
+
 // A limit holds for tenants that were there before it.
 func TestLimitComesIntoForce(t *testing.T) {
 	for name, before := range map[string][]Plan{"not told": nil, "none": {{Name: "t"}}, "higher": {limited(1000, 1000)}} {
--- a/policy/store.go
+++ b/policy/store.go
@@ -135,6 +135,9 @@
 		c.lent = 0
 	}
 	part, want := c.plan.HardRate/c.n, 0.0
+	if g.set.Field != nil {
+		part *= lendFrom
+	}
 	for _, v := range c.set {
 		v.want = 0
 		if !g.silent(v.p) {
