Let who joins use a part at once, so that coming and going starves nobody

Cause: for a second a joiner used none of its part, since nobody could be known to have heard of it; with three of six gates leaving, and one joining at any time, two parts of six were in use. Ruled out: that joiners come late into answers (the same with none spared).

Change: until it can be known who has heard, a joiner uses as much of its part as keeps what all joiners may pass beyond a quota under a tenth of a second's units each second, for 1.5 s; the rule leaves twice that in five seconds beside what is given out. After that, whoever has not heard still holds what was his.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,9 @@
 	start  time.Time
 	life   int64
 
+	mu    sync.Mutex
+	early *furrow.Census // taken over before it was known who had heard of this proxy; nil: a later one was
+
 	held  *furrow.Plot           // in force
 	zones map[string]furrow.Zone // orders in force: a hand that starts anew may first hear of older ones
 	gen   atomic.Uint64
@@ -146,6 +150,7 @@
 
 func (g *Gate) ping(ctx context.Context, c *furrow.Conn) {
 	for g.beat(c) == nil && world.Sleep(ctx, g.w, beat) {
+		g.settle()
 	}
 }
 
@@ -191,8 +196,23 @@
 	}
 }
 
+// settle takes the census over again once it is known who has heard of this proxy.
+func (g *Gate) settle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.early != nil && g.now() >= harvest.EarlyFor {
+		g.meet(g.early)
+	}
+}
+
 // peers takes over who the other proxies are.
 func (g *Gate) peers(s *furrow.Census) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.meet(s)
+}
+
+func (g *Gate) meet(s *furrow.Census) {
 	me := slices.IndexFunc(s.Gates, func(m furrow.Member) bool { return m.Hello.Name == g.set.Self.Name })
 	if me < 0 {
 		return // control doesn't know of this one yet
@@ -204,6 +224,9 @@
 		}
 	}
 	less := harvest.Less(s.Shares, joined, s.Gates[me].Silent)
+	if g.early = nil; less > 0 && g.now() < harvest.EarlyFor {
+		less, g.early = min(less, 1-harvest.Early(s.Shares, joined)), s
+	}
 	at, regions := make([]netip.AddrPort, 0, len(s.Gates)), make([]string, 0, len(s.Gates))
 	for _, m := range s.Gates {
 		if m.Slot < 0 || m.Slot > maxSlot {
--- a/internal/harvest/join.go
+++ b/internal/harvest/join.go
@@ -11,6 +11,9 @@
 	HeardBy = time.Second                    // who is heard so long after a join has been told of it
 	RiseAt  = HeardBy + 250*time.Millisecond // before that a joiner may have no units: nobody is sent there
 	RiseFor = RiseAt + 1500*time.Millisecond // until it is in all answers to clients
+
+	EarlyFor   = HeardBy + 500*time.Millisecond // from its start: it can't be known yet who has heard of it
+	earlySpare = 0.1                            // of a second's units of all, that those who join in this time may pass beyond
 )
 
 // Less is the part of its share that a joiner must not use, out of so many shares. Of the others some have joined with
@@ -23,6 +26,12 @@
 	return min(1, float64(silent)/float64(old))
 }
 
+// Early is the part of its share that a joiner uses before it can be known who has heard of it: what all who join in
+// that time may pass beyond a quota stays under earlySpare of a second's rate each second.
+func Early(shares, joined int) float64 {
+	return min(1, earlySpare*float64(shares)/float64(max(1, joined)))
+}
+
 // Risen tells whether a joiner that became ready so long ago is in an answer to clients of some place: in a part
 // of all places' answers that rises to all. The same joiner and place always come out alike.
 func Risen(joiner, place string, age time.Duration) bool {
--- a/internal/harvest/shares_test.go
+++ b/internal/harvest/shares_test.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// Before it can be known who has heard, all joiners together use no more than a stated part of a second's units.
+func TestEarlyPartsAreFew(t *testing.T) {
+	for shares := 1; shares <= 100; shares++ {
+		for joined := 1; joined <= shares; joined++ {
+			sum := float64(joined) * Early(shares, joined) / float64(shares)
+			assert.Assert(t, sum <= earlySpare+1e-9, "%d of %d: %v", joined, shares, sum)
+		}
+	}
+	assert.Equal(t, Early(12, 1), 1.0)
+}
+
 // A joiner comes into a rising part of places' answers, and each place keeps it once it has it.
 func TestRisesByPlace(t *testing.T) {
 	for tenth := range 11 {
