--- a/internal/orchard/handover_test.go
+++ b/internal/orchard/handover_test.go
@@ -68,35 +68,6 @@
 	})
 }
 
-// Gates join, again and again, while those who divide the quotas without them hear nothing of it: a joiner uses a part
-// at once, and none of it once it could be known that nobody has heard.
-func TestJoinsThatNobodyHearsOf(t *testing.T) {
-	t.Parallel()
-	Play(t, flooded(), func(o *House) {
-		o.Pass(contact)
-		gone, stay := o.Edges()[:2], o.Edges()[2:]
-		for _, n := range gone {
-			o.Terminate(n)
-		}
-		o.Pass(time.Second)
-		o.Cut(stay, o.Cores(), sim.Silent)
-		for range 3 {
-			for _, n := range gone {
-				o.Start(n)
-			}
-			o.Pass(2500 * time.Millisecond)
-			for _, n := range gone {
-				o.Kill(n)
-			}
-		}
-		o.Join(stay, o.Cores())
-		for _, n := range gone {
-			o.Start(n)
-		}
-		o.Pass(contact + time.Second)
-	})
-}
-
 // A leave takes half of the grace and what is out, however often it is done; it is ready again as soon as it was.
 func TestLeaveIsShort(t *testing.T) {
 	t.Parallel()
--- a/policy/yield_test.go
+++ b/policy/yield_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/harvest"
 )
 
 // gives are what a gateway gives up when it is told to.
@@ -104,3 +106,44 @@
 	assert.Equal(t, g.fleet[0].colds, 0)
 	assert.Equal(t, g.customers[keyOf("t")].n, 6.0)
 }
+
+// Two gateways join, and none of six others hears of it: what the joiners use at first stays under what the rule leaves
+// beside the parts given out, and after that they use nothing.
+func TestJoinersThatNobodyHearsOf(t *testing.T) {
+	const rate, burst = 400.0, 100.0
+	m := newMeadow(8, 3, fieldServers(4, "s"), limited(rate, burst))
+	m.lost = 1
+	for i := range 6 {
+		m.do(i, Peers{Me: i, Gateways: 8, Shares: 6})
+		m.told[i] = 8
+	}
+	for i := 6; i < 8; i++ {
+		m.do(i, Peers{Me: i, Gateways: 8, Shares: 8, Less: 1})
+	}
+	flood := func() {
+		for i := range m.gs {
+			for range 3 {
+				m.ask(i, Request{Customer: "t", Plan: "t", Class: "safe", Service: "s"})
+			}
+		}
+	}
+	m.pass(5*time.Second, flood)
+	m.sends = nil
+	joined := func(less float64, d time.Duration) (n int) {
+		for i := 6; i < 8; i++ {
+			m.do(i, Peers{Me: i, Gateways: 8, Shares: 8, Less: less})
+		}
+		from := len(m.sends)
+		m.pass(d, flood)
+		for _, s := range m.sends[from:] {
+			if s.by >= 6 {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, joined(1-harvest.Early(8, 2), harvest.EarlyFor) > 0)
+	assert.Assert(t, joined(harvest.Less(8, 2, 6), 10*time.Second) <= 30) // what they had in store
+	in := m.most(5*time.Second, func(sending) bool { return true })
+	assert.Assert(t, float64(in) <= (5*rate+burst)*1.1+20, "%d", in)
+}
