--- a/internal/harvest/join.go
+++ b/internal/harvest/join.go
@@ -26,8 +26,8 @@
 	return min(1, float64(silent)/float64(old))
 }
 
-// Early is the part of its share that a joiner uses before it can be known who has heard of it: what all who join in
-// that time may pass beyond a quota stays under earlySpare of a second's rate each second.
+// Early is the part of its share that a joiner uses until EarlyFor, before it can be known who has heard of it: what all
+// who join in that time may pass beyond a quota stays under earlySpare of a second's rate each second.
 func Early(shares, joined int) float64 {
 	return min(1, earlySpare*float64(shares)/float64(max(1, joined)))
 }
