--- a/internal/barn/random_test.go
+++ b/internal/barn/random_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -165,65 +166,69 @@
 }
 
 func TestRandomDays(t *testing.T) {
+	t.Parallel()
 	for seed := range *seeds {
-		n := 3 + int(seed)%3
-		play(t, n, func(f *farm) {
-			l := &ledger{sent: map[string]bool{}, may: map[bool]bool{false: true}}
-			f.acknowledged(0, body(1, "first"))
-			l.sent[string(body(1, "first"))], l.gen = true, 1
-			var mu sync.Mutex
-			gen := 1
-			numbers := rand.New(rand.NewPCG(seed, 99))
-			next := func() int {
-				mu.Lock()
-				defer mu.Unlock()
-				gen += numbers.IntN(3) // two may have one number
-				return gen
-			}
-			until := time.Now().Add(40 * time.Second)
-			var all sync.WaitGroup
-			for k := range 4 {
-				all.Go(func() { f.operator(l, rand.New(rand.NewPCG(seed, uint64(k+2))), until, next) })
-			}
-			all.Go(func() { f.drainer(l, rand.New(rand.NewPCG(seed, 77)), until) })
-			in := &trouble{barns: make([]sync.Mutex, n)}
-			for k := range n - 1 {
-				all.Go(func() {
-					rnd := rand.New(rand.NewPCG(seed, uint64(k+50)))
-					for time.Now().Before(until) {
-						f.befall(rnd, in)
-						time.Sleep(time.Duration(rnd.IntN(1000)) * time.Millisecond)
+		t.Run(strconv.FormatUint(uint64(seed), 10), func(t *testing.T) {
+			t.Parallel()
+			n := 3 + int(seed)%3
+			play(t, n, func(f *farm) {
+				l := &ledger{sent: map[string]bool{}, may: map[bool]bool{false: true}}
+				f.acknowledged(0, body(1, "first"))
+				l.sent[string(body(1, "first"))], l.gen = true, 1
+				var mu sync.Mutex
+				gen := 1
+				numbers := rand.New(rand.NewPCG(seed, 99))
+				next := func() int {
+					mu.Lock()
+					defer mu.Unlock()
+					gen += numbers.IntN(3) // two may have one number
+					return gen
+				}
+				until := time.Now().Add(40 * time.Second)
+				var all sync.WaitGroup
+				for k := range 4 {
+					all.Go(func() { f.operator(l, rand.New(rand.NewPCG(seed, uint64(k+2))), until, next) })
+				}
+				all.Go(func() { f.drainer(l, rand.New(rand.NewPCG(seed, 77)), until) })
+				in := &trouble{barns: make([]sync.Mutex, n)}
+				for k := range n - 1 {
+					all.Go(func() {
+						rnd := rand.New(rand.NewPCG(seed, uint64(k+50)))
+						for time.Now().Before(until) {
+							f.befall(rnd, in)
+							time.Sleep(time.Duration(rnd.IntN(1000)) * time.Millisecond)
+						}
+					})
+				}
+				all.Wait()
+				in.over.Store(true)
+				// The end: all that was acknowledged is there, and alike everywhere.
+				f.until(6*time.Second, "vouch", func() bool { return f.vouching() == n })
+				var p *furrow.Plot
+				f.until(6*time.Second, "show", func() bool { // connections cut a moment ago have to come up
+					ok := true
+					for i := range n {
+						got, err := f.runs[i].Show(context.Background())
+						if p = got; err != nil {
+							ok = false
+						}
 					}
+					return ok
 				})
-			}
-			all.Wait()
-			in.over.Store(true)
-			// The end: all that was acknowledged is there, and alike everywhere.
-			f.until(6*time.Second, "vouch", func() bool { return f.vouching() == n })
-			var p *furrow.Plot
-			f.until(6*time.Second, "show", func() bool { // connections cut a moment ago have to come up
-				ok := true
+				assert.Assert(t, int(p.Gen) >= l.gen, "seed %d: r%d, acknowledged r%d", seed, p.Gen, l.gen)
 				for i := range n {
-					got, err := f.runs[i].Show(context.Background())
-					if p = got; err != nil {
-						ok = false
-					}
+					f.shows(i, p.Body)
+				}
+				time.Sleep(3 * time.Second)
+				for _, r := range f.runs {
+					r.mu.Lock()
+					z := r.zones["z0"]
+					r.mu.Unlock()
+					assert.Assert(t, l.may[z.Drain] && z == f.runs[0].mineNow().zone("z0"), "seed %d: %v, may be %v", seed, z, l.may)
 				}
-				return ok
+				assert.Equal(t, strings.Join(l.faults, "\n"), "", "seed %d", seed)
+				t.Logf("seed %d: %d barns, r%d", seed, n, l.gen)
 			})
-			assert.Assert(t, int(p.Gen) >= l.gen, "seed %d: r%d, acknowledged r%d", seed, p.Gen, l.gen)
-			for i := range n {
-				f.shows(i, p.Body)
-			}
-			time.Sleep(3 * time.Second)
-			for _, r := range f.runs {
-				r.mu.Lock()
-				z := r.zones["z0"]
-				r.mu.Unlock()
-				assert.Assert(t, l.may[z.Drain] && z == f.runs[0].mineNow().zone("z0"), "seed %d: %v, may be %v", seed, z, l.may)
-			}
-			assert.Equal(t, strings.Join(l.faults, "\n"), "", "seed %d", seed)
-			t.Logf("seed %d: %d barns, r%d", seed, n, l.gen)
 		})
 	}
 }
