Answer what was read of a client that leaves or is let go of, to the end of the grace

A gate that leaves closes idle connections from half of its grace on. It did so from another goroutine: a request that had just been read from the socket, but whose connection was not marked as reading yet, met a closed connection. A client that sees its request read may not repeat it where it can't be repeated.

Now only who reads a connection closes it: it is woken by its read deadline, closes the connection where nothing came, and answers what it had read. The old wire's side is as it was.

What still waited for a server at 7/8 of the grace was cut by the process's end. It is answered then, as at its deadline: 503 where it never ran, else 504 or the server's own answer; all ends at 15/16.

--- a/internal/harvest/leave.go
+++ b/internal/harvest/leave.go
@@ -6,7 +6,8 @@
 const (
 	doorPart = 2                      // the door shuts after this part of the grace: clients know of it by then
 	lateDoor = 8                      // and this part later also where requests go on coming
-	lastPart = 8                      // this part is left when all ends
+	lastPart = 8                      // this part is left when what is open is answered, whatever it waits for
+	endPart  = 16                     // and this when all ends
 	quietFor = 100 * time.Millisecond // nothing has come for so long
 	ColdSpan = 1150 * time.Millisecond
 )
@@ -21,6 +22,7 @@
 	Cool                   // it sends nothing to cold servers: others may, ColdSpan later
 	Shut                   // its door is shut; it has stopped to use its shares, and hands them over
 	Answering              // its shares are nobody's or others'; what is out is answered
+	Late                   // nothing that is out is waited for any more: it is answered with what is known of it
 	Ended
 )
 
@@ -45,15 +47,17 @@
 func (l *Leave) Step(past time.Duration, f Facts) (Stage, bool) {
 	was, door := l.stage, l.Grace/doorPart
 	switch {
-	case past >= l.Grace-l.Grace/lastPart:
+	case past >= l.Grace-l.Grace/endPart:
 		l.stage = Ended
+	case was < Late && past >= l.Grace-l.Grace/lastPart:
+		l.stage = Late
 	case was == Unfound && past >= door-ColdSpan:
 		l.stage = Cool
 	case was == Cool && past >= door && (f.Quiet >= quietFor || past >= door+l.Grace/lateDoor):
 		l.stage = Shut
 	case was == Shut && f.Handed:
 		l.stage = Answering
-	case was == Answering && f.Open == 0 && f.Quiet >= quietFor:
+	case was >= Answering && f.Open == 0 && f.Quiet >= quietFor:
 		l.stage = Ended
 	}
 	return l.stage, l.stage != was
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -77,9 +77,12 @@
 // enter does what a stage begins with; it runs on the loop.
 func (e *Estate) enter(l *loop, stage harvest.Stage) {
 	y := &e.yields
-	if y.stage = stage; stage == harvest.Shut {
+	switch y.stage = stage; stage {
+	case harvest.Shut:
 		l.decide(policy.Yield{}) // before its parts are told to be none
 		y.giver = harvest.NewGiver(y.taker.Life, y.lots, l.clock.now())
+	case harvest.Late:
+		l.finishAll()
 	}
 	e.share(l)
 }
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -1,9 +1,15 @@
 package node
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +19,8 @@
 	"pepperfall.example/pepperfall/internal/grove"
 	"pepperfall.example/pepperfall/internal/plot"
 	"pepperfall.example/pepperfall/internal/sim"
+	"pepperfall.example/pepperfall/internal/standin"
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -91,3 +99,130 @@
 		})
 	}
 }
+
+// dozing is a network on whose listeners an edge node gets what it has read only a while later, as where its machine
+// has no core free for it.
+type dozing struct {
+	*sim.Net
+	conns sync.Map // by the client's address
+}
+
+type dozingListener struct {
+	net.Listener
+	of *dozing
+}
+
+type dozingConn struct {
+	net.Conn
+	got atomic.Int64 // bytes
+}
+
+func (d *dozing) Listen(ctx context.Context, network, address string) (net.Listener, error) {
+	l, err := d.Net.Listen(ctx, network, address)
+	return dozingListener{l, d}, err
+}
+
+func (l dozingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	x := &dozingConn{Conn: c}
+	l.of.conns.Store(c.RemoteAddr().String(), x)
+	return x, nil
+}
+
+func (c *dozingConn) Peek() world.Peeked { return world.Peek(c.Conn) }
+
+func (c *dozingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.got.Add(int64(n)); n > 0 {
+		time.Sleep(30 * time.Millisecond)
+	}
+	return n, err
+}
+
+// Whatever an edge node that leaves has read is answered, at whatever stage it came, on an old connection or a new one; what
+// it has not read, the client may send again.
+func TestWhatIsReadWhileLeavingIsAnswered(t *testing.T) {
+	d := &dozing{}
+	playIn(t, false, func(n *sim.Net) world.World { d.Net = n; return d }, func(r *rig) {
+		r.acts = []act{served}
+		r.tell()
+		var moments []time.Duration // since the stop
+		for _, from := range []time.Duration{0, 1800, 2900, 3000, 3100, 3200, 3700} {
+			for i := range time.Duration(10) {
+				moments = append(moments, from*time.Millisecond+i*10*time.Millisecond)
+			}
+		}
+		var jobs sync.WaitGroup
+		var answers, unread atomic.Int64
+		stop := time.Now().Add(5 * time.Second)
+		for i, at := range moments {
+			text, kept := wired("/act/", ""), i%3 > 0
+			ask := func(c net.Conn, before int) {
+				_, err := io.WriteString(c, text)
+				var resp *http.Response
+				if err == nil {
+					resp, err = http.ReadResponse(bufio.NewReader(c), nil)
+				}
+				x, met := d.conns.Load(c.LocalAddr().String())
+				switch {
+				case err == nil && resp.StatusCode == 200:
+					answers.Add(1)
+				case met && x.(*dozingConn).got.Load() > int64(before):
+					t.Errorf("read %v after the stop, and not answered: %v", at, err)
+				default:
+					unread.Add(1)
+				}
+			}
+			var old net.Conn
+			first := wired("/act/", "")
+			if kept {
+				old = r.dial()
+				_, err := io.WriteString(old, first)
+				assert.NilError(t, err)
+				assert.Assert(t, !r.answer(old).Close)
+			}
+			jobs.Go(func() {
+				time.Sleep(time.Until(stop.Add(at)))
+				if kept {
+					defer old.Close()
+					ask(old, len(first))
+					return
+				}
+				c, err := r.net.Dial(r.t.Context(), "tcp", r.Addr().String())
+				if err != nil {
+					return // the door is shut
+				}
+				defer c.Close()
+				ask(c, 0)
+			})
+		}
+		time.Sleep(time.Until(stop))
+		r.stop()
+		r.ended <- <-r.ended
+		assert.Assert(t, time.Since(stop) < 6*time.Second)
+		jobs.Wait()
+		t.Logf("%d answered, %d closed before they were read", answers.Load(), unread.Load())
+		assert.Assert(t, answers.Load() > 0 && unread.Load() > 0)
+	})
+}
+
+// What has no answer when nearly all of the grace is over gets one then: nothing is cut by the end.
+func TestLastAnswersComeInTheGrace(t *testing.T) {
+	play(t, false, func(r *rig) {
+		r.acts = []act{standin.Deaf}
+		r.tell()
+		p, err := plot.Parse([]byte(strings.ReplaceAll(strings.Replace(estatePlot, `"r1"`, `"r2"`, 1), `"timeout_ms":2000`, `"timeout_ms":9000`)))
+		assert.NilError(t, err)
+		r.Plot(p)
+		r.stop()
+		stop := time.Now()
+		time.Sleep(2900 * time.Millisecond)
+		a := r.ask("/act/", "Deadline-Ms: 9000\r\n")
+		assert.Assert(t, a.StatusCode == 504 && a.Close, "%d", a.StatusCode)
+		r.ended <- <-r.ended
+		assert.Assert(t, time.Since(stop) < 6*time.Second)
+	})
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"pepperfall.example/pepperfall/internal/world"
@@ -234,6 +236,15 @@
 	l.decide(policy.Gone{ID: c.ID})
 }
 
+// finishAll answers all that is open as at its deadline.
+func (l *loop) finishAll() {
+	for _, id := range slices.Sorted(maps.Keys(l.calls)) {
+		if c := l.calls[id]; c != nil {
+			l.overdue(c)
+		}
+	}
+}
+
 // look finds the clients that have closed their connections. Nothing more is
 // sent for them; an attempt that is out runs on, since the app server would
 // not stop either.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -232,10 +232,24 @@
 	return least != nil
 }
 
+// close lets go of a connection. On the system's wire only who reads it closes it: a request of which nothing was read
+// by then is the client's to send again, and one that was read is answered.
 func (s *server) close(cc *clientConn) {
 	cc.shut = true
 	s.shut++
-	cc.Close()
+	if s.estate == nil || cc.SetReadDeadline(s.clock.Now()) != nil {
+		cc.Close()
+	}
+}
+
+// until sets how long the next read may wait. One on a connection that was let go of may not.
+func (s *server) until(cc *clientConn, wait time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cc.shut {
+		return nil
+	}
+	return cc.SetReadDeadline(s.clock.Now().Add(wait))
 }
 
 // shutIdle closes the connections that have been idle for so long, and those
@@ -275,12 +289,17 @@
 
 // take marks the request's connection as busy if it is still open on this
 // side. A request that crossed the closing of its connection is sent again by
-// the client, so it must not be worked on here.
+// the client, so it must not be worked on here. On the system's wire it is open
+// still, and so stays.
 func (s *server) take(cc *clientConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if cc.shut {
-		return false
+		if s.estate == nil {
+			return false
+		}
+		cc.shut = false
+		s.shut--
 	}
 	cc.state, cc.good = connBusy, true
 	s.active, cc.touched = max(s.active, cc.touched), 0
@@ -301,7 +320,7 @@
 			wait = tune.FirstRequest
 		}
 		if cc.in.buffered() == 0 {
-			if cc.SetReadDeadline(s.clock.Now().Add(wait)) != nil || cc.in.more() != nil {
+			if s.until(cc, wait) != nil || cc.in.more() != nil {
 				return // idle for long, or gone
 			}
 		}
@@ -309,7 +328,7 @@
 		if s.estate != nil {
 			cc.in.most = s.estate.longest()
 		}
-		if !first && cc.SetReadDeadline(s.clock.Now().Add(tune.WholeRequest)) != nil {
+		if !first && s.until(cc, tune.WholeRequest) != nil {
 			return
 		}
 		if err := cc.read(); err != nil {
@@ -378,7 +397,7 @@
 	if half, ok := cc.Conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		return
 	}
-	if cc.SetReadDeadline(s.clock.Now().Add(lingerFor)) == nil {
+	if s.until(cc, lingerFor) == nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(cc.Conn, most))
 	}
 }
