Join what all gates see of a server into one verdict on whether it records

Each gate judges a server by its own attempts alone. In a large fleet it meets one server too seldom for that, and a server that answers searches and loses records is judged as one thing. Nothing tells a path's fault or a tenant's from the server's.

internal/winnow holds evidence by life, kind, gate and group of tenants, as counts that only grow, so that sheaves fold in any order, doubled and lost. Each group and each gate has a cap below what condemns; a zone alone condemns for nobody; gates that fail at many servers, or are ill themselves, count less. Verdicts have levels, a bound on the part of a service that is out, and a return by few trials that relapses slow. Nothing calls it yet.

Nine planted faults are each caught by a story; order, doubling and loss, and one tenant beside all others, are random tests.

--- /dev/null
+++ b/internal/winnow/floor.go
@@ -0,0 +1,167 @@
+package winnow
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of a floor's memory.
+const (
+	mostServers   = 4096 // whose evidence is kept
+	mostCells     = 4096 // of evidence of one server, 48 bytes each
+	mostWitnesses = 4096
+	futureBins    = 4    // by which a bin may lie ahead of what its sheaf tells as now
+	drift         = 5000 // one part in so many is by how much two steady clocks may differ
+)
+
+type wit struct {
+	name string
+	life int64
+}
+
+type cellKey struct {
+	wit
+	kind  Kind
+	group uint8
+	bin   int32
+}
+
+type cell struct {
+	counts Counts
+	ill    bool
+}
+
+type witness struct {
+	zone    string
+	base    time.Duration // its clock's origin in ours, less drift: the earliest that any of its sheaves lets be
+	last    time.Duration // its own clock in its newest sheaf
+	no      uint64        // and that one's number
+	tried   int
+	fails   int
+	failing map[string]bool
+}
+
+// origin is when the witness's clock stood at 0.
+func (w *witness) origin(now time.Duration) time.Duration { return w.base + now/drift }
+
+// Floor is where one barn joins what gates told. Times are its own steady clock.
+type Floor struct {
+	now       time.Duration
+	witnesses map[wit]*witness
+	cells     map[string]map[cellKey]*cell // by server
+	stalks    map[string]*stalk
+	servers   []Server
+	fault     string // planted by tests
+}
+
+// NewFloor is empty.
+func NewFloor() *Floor {
+	return &Floor{witnesses: map[wit]*witness{}, cells: map[string]map[cellKey]*cell{}, stalks: map[string]*stalk{}}
+}
+
+// Hear takes in what a gate tells.
+func (f *Floor) Hear(now time.Duration, s *Sheaf) {
+	f.now = max(f.now, now)
+	k := wit{s.Witness, s.Life}
+	w := f.witnesses[k]
+	if w == nil {
+		if len(f.witnesses) >= mostWitnesses {
+			return
+		}
+		w = &witness{base: math.MaxInt64, last: -1}
+		f.witnesses[k] = w
+	}
+	w.base = min(w.base, now-s.Now-now/drift)
+	if s.Now > w.last || s.Now == w.last && s.No >= w.no {
+		w.last, w.no, w.zone, w.tried, w.fails, w.failing = s.Now, s.No, s.Zone, s.Tried, s.Fails, map[string]bool{}
+		for _, id := range s.Failing[:min(len(s.Failing), MostFailing)] {
+			w.failing[id] = true
+		}
+	}
+	for _, e := range s.Ears {
+		if e.Kind >= kinds || e.Group >= Groups || e.Bin > binOf(s.Now)+futureBins || e.Bin < binOf(s.Now-Window) {
+			continue
+		}
+		f.put(e, k)
+	}
+}
+
+func (f *Floor) put(e Ear, w wit) {
+	of := f.cells[e.Server]
+	if of == nil {
+		if len(f.cells) >= mostServers {
+			return
+		}
+		of = map[cellKey]*cell{}
+		f.cells[e.Server] = of
+	}
+	k := cellKey{w, e.Kind, e.Group, e.Bin}
+	c := of[k]
+	if c == nil {
+		if len(of) >= mostCells {
+			f.thin(of)
+		}
+		c = &cell{}
+		of[k] = c
+	}
+	if f.fault == "adds" {
+		for i := range c.counts {
+			c.counts[i] += e.Counts[i]
+		}
+	}
+	c.counts.onto(e.Counts)
+	c.ill = c.ill || e.Ill
+}
+
+// begins is when a cell's span began.
+func (f *Floor) begins(k cellKey) time.Duration {
+	return f.witnesses[k.wit].origin(f.now) + time.Duration(k.bin)*Span
+}
+
+// thin drops the older half of a server's cells.
+func (f *Floor) thin(of map[cellKey]*cell) {
+	keys := make([]cellKey, 0, len(of))
+	for k := range of {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b cellKey) int {
+		return cmp.Or(cmp.Compare(f.begins(a), f.begins(b)), strings.Compare(a.name, b.name), cmp.Compare(a.kind, b.kind), cmp.Compare(a.group, b.group))
+	})
+	for _, k := range keys[:len(keys)/2] {
+		delete(of, k)
+	}
+}
+
+// forget drops what is too old, and servers and witnesses of whom nothing is left.
+func (f *Floor) forget() {
+	there := map[string]bool{}
+	for _, s := range f.servers {
+		there[s.ID] = true
+	}
+	used := map[wit]bool{}
+	for id, of := range f.cells {
+		for k := range of {
+			if f.now-f.begins(k) > Window {
+				delete(of, k)
+				continue
+			}
+			used[k.wit] = true
+		}
+		if len(of) == 0 || f.stalks[id] != nil && !there[id] {
+			delete(f.cells, id)
+		}
+	}
+	for k, w := range f.witnesses {
+		if !used[k] && f.now-w.origin(f.now)-w.last > Window {
+			delete(f.witnesses, k)
+		}
+	}
+	for id := range f.stalks {
+		if !there[id] {
+			delete(f.stalks, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/winnow/join.go
@@ -0,0 +1,284 @@
+package winnow
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// What it takes. Weights are in outcomes.
+const (
+	need       = 4.0        // against a server, after all caps, that condemn it
+	groupBad   = 0.6 * need // at most of one tenant group, ...
+	witnessBad = 0.6 * need // ... and of one gate: neither can condemn alone
+	groupMass  = 6.0        // at most of one group, for and against
+	illWorth   = 0.25       // of what one saw who was ill itself
+	leastShare = 0.25       // against a server, of all, that condemn it; and three times what is usual
+	mostShare  = 0.6
+	usualTimes = 3.0
+	enoughSeen = 3    // servers that a gate must have tried to be compared
+	zoneGood   = 2.0  // for a server, without one group, that let a zone speak for it
+	fullExcess = 0.75 // servers failing at it beyond what is usual among gates, at which its word counts nothing
+)
+
+// spans are the last parts of the window that are looked at, the shortest first: what was good before a server fell ill
+// does not hide it.
+var spans = []time.Duration{Span, 2 * Span, 4 * Span, 8 * Span, 16 * Span, 32 * Span, 64 * Span, Window}
+
+// reading is what the evidence of one server and kind comes to in one span.
+type reading struct {
+	bad, good     float64
+	share         float64 // against it, without the group that speaks for it most
+	plain         float64 // share of all
+	number        int
+	against, for_ int // witnesses
+	zonesAgainst  int
+	zonesFor      int
+}
+
+// credit is what a gate's word on a server is worth, 0 to 1: little where it fails at many others too, beyond what
+// the middle one of all gates does.
+func (f *Floor) credit(w *witness, server string, usual float64) float64 {
+	if f.fault == "trusts all" {
+		return 1
+	}
+	return 1 - min(1, max(0, w.failsBeside(server)-usual)/fullExcess)
+}
+
+// failsBeside is the share of other servers that fail at a gate; 0 where it has tried too few.
+func (w *witness) failsBeside(server string) float64 {
+	tried, fails := w.tried, w.fails
+	if w.failing[server] {
+		tried, fails = tried-1, fails-1
+	}
+	if tried < enoughSeen {
+		return 0
+	}
+	return float64(fails) / float64(tried)
+}
+
+func (f *Floor) usualFails(server string) float64 {
+	var all []float64
+	for _, w := range f.witnesses {
+		if w.tried >= enoughSeen {
+			all = append(all, w.failsBeside(server))
+		}
+	}
+	return middle(all)
+}
+
+func middle(all []float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
+// voice is one gate's weighed word, by group.
+type voice struct {
+	zone  string
+	count int
+	by    [Groups][2]int64 // against, for
+}
+
+// word is what one cell says, weighed.
+type word struct {
+	name, zone string
+	group      uint8
+	number     int
+	bad, good  int64
+}
+
+// words are what was seen of a server in spans that began at a moment or later, each in the shortest of spans that it
+// falls in.
+func (f *Floor) words(server string, kind Kind, since time.Duration, usual float64) (all [][]word) {
+	all = make([][]word, len(spans))
+	credit := map[wit]float64{}
+	for k, c := range f.cells[server] {
+		at := f.begins(k)
+		if k.kind != kind || at < since {
+			continue
+		}
+		i := slices.IndexFunc(spans, func(d time.Duration) bool { return f.now-at <= d })
+		if i < 0 {
+			continue
+		}
+		w := f.witnesses[k.wit]
+		worth, ok := credit[k.wit]
+		if !ok {
+			worth = f.credit(w, server, usual)
+			credit[k.wit] = worth
+		}
+		worth *= math.Exp2(-float64(max(0, f.now-at)) / float64(half))
+		if c.ill && f.fault != "hears the ill" {
+			worth *= illWorth
+		}
+		bad, good := c.counts.weigh()
+		all[i] = append(all[i], word{k.name, w.zone, k.group, c.counts.number(), int64(float64(bad) * worth), int64(float64(good) * worth)})
+	}
+	return all
+}
+
+// add adds words to voices, by gate's name.
+func add(voices map[string]*voice, words ...[]word) map[string]*voice {
+	for _, list := range words {
+		for _, x := range list {
+			v := voices[x.name]
+			if v == nil {
+				v = &voice{zone: x.zone}
+				voices[x.name] = v
+			}
+			v.count += x.number
+			v.by[x.group][0] += x.bad
+			v.by[x.group][1] += x.good
+		}
+	}
+	return voices
+}
+
+// join makes one reading of all voices: by group first, each with a cap, then by gate, each with a cap.
+func (f *Floor) join(voices map[string]*voice, limit float64) (r reading) {
+	var group [Groups][2]float64
+	for _, v := range voices {
+		for g, x := range v.by {
+			group[g][0] += float64(x[0]) / one // whole multiples of 1/4096: exact in any order
+			group[g][1] += float64(x[1]) / one
+		}
+	}
+	var scale [Groups][2]float64
+	for g, x := range group {
+		all := min(1, groupMass/max(groupMass, x[0]+x[1]))
+		scale[g] = [2]float64{all, all}
+		if x[0]*all > groupBad {
+			scale[g][0] = groupBad / x[0]
+		}
+		if f.fault == "no group cap" {
+			scale[g] = [2]float64{1, 1}
+		}
+	}
+	all, zones := &tally{}, map[string]*tally{}
+	for _, name := range slices.Sorted(maps.Keys(voices)) {
+		v, t := voices[name], &tally{}
+		for g, x := range v.by {
+			t.bad += float64(x[0]) / one * scale[g][0]
+			t.good[g] = float64(x[1]) / one * scale[g][1]
+		}
+		if f.fault != "no witness cap" {
+			t.bad = min(t.bad, witnessBad)
+		}
+		if zones[v.zone] == nil {
+			zones[v.zone] = &tally{}
+		}
+		all.add(t)
+		zones[v.zone].add(t)
+		r.number += v.count
+		good, apart := t.sums()
+		switch {
+		case t.against(apart, limit):
+			r.against++
+		case good > 0:
+			r.for_++
+		}
+	}
+	for _, z := range zones {
+		switch _, apart := z.sums(); {
+		case z.against(apart, limit):
+			r.zonesAgainst++
+		case apart >= zoneGood:
+			r.zonesFor++
+		}
+	}
+	r.bad = all.bad
+	good, apart := all.sums()
+	if r.good = good; r.bad > 0 {
+		r.plain, r.share = r.bad/(r.bad+good), r.bad/(r.bad+apart)
+		if f.fault == "one group absolves" {
+			r.share = r.plain
+		}
+	}
+	return r
+}
+
+// tally is what speaks against a server, and for it by group.
+type tally struct {
+	bad  float64
+	good [Groups]float64
+}
+
+func (t *tally) add(o *tally) {
+	t.bad += o.bad
+	for g, x := range o.good {
+		t.good[g] += x
+	}
+}
+
+// sums are what speaks for it, with and without the group that does so most: so none can absolve alone.
+func (t *tally) sums() (all, apart float64) {
+	for _, x := range t.good {
+		all += x
+	}
+	return all, all - slices.Max(t.good[:])
+}
+
+func (t *tally) against(apart, limit float64) bool { return t.bad > 0 && t.bad >= limit*(t.bad+apart) }
+
+// read looks at all spans of a server's evidence since a moment, and gives the one that speaks most against it.
+func (f *Floor) read(server string, kind Kind, since time.Duration, limit float64) (worst reading) {
+	voices := map[string]*voice{}
+	for _, list := range f.words(server, kind, since, f.usualFails(server)) {
+		add(voices, list)
+		r := f.join(voices, limit)
+		switch {
+		case f.condemns(r, limit):
+			return r
+		case worst.number == 0 || f.doubts(r, limit) && !f.doubts(worst, limit):
+			worst = r
+		}
+	}
+	return worst
+}
+
+// condemns tells whether a reading makes a server unfit.
+func (f *Floor) condemns(r reading, limit float64) bool {
+	zones := r.zonesAgainst > r.zonesFor && (r.zonesAgainst > 1 || f.zones() < 2)
+	return r.bad >= need && r.share >= limit && r.against > 1 && (zones || f.fault == "one zone condemns")
+}
+
+// doubts tells whether a reading makes a server doubtful.
+func (f *Floor) doubts(r reading, limit float64) bool {
+	return r.bad >= need/2 && r.share >= limit && r.zonesAgainst > r.zonesFor
+}
+
+// zones are in how many zones there are gates that told something.
+func (f *Floor) zones() int {
+	all := map[string]bool{}
+	for _, w := range f.witnesses {
+		all[w.zone] = true
+	}
+	return len(all)
+}
+
+// shares are the shares against all servers of which enough was seen lately.
+func (f *Floor) shares(kind Kind) map[string]float64 {
+	all := map[string]float64{}
+	for id := range f.cells {
+		voices := add(map[string]*voice{}, f.words(id, kind, f.now-64*Span, 0)...)
+		if r := f.join(voices, leastShare); r.bad+r.good >= need {
+			all[id] = r.plain
+		}
+	}
+	return all
+}
+
+// limit is the share that condemns a server: more where much is unclear at the middle one of all others.
+func limit(shares map[string]float64, server string) float64 {
+	var others []float64
+	for id, x := range shares {
+		if id != server {
+			others = append(others, x)
+		}
+	}
+	return min(mostShare, max(leastShare, usualTimes*middle(others)))
+}
--- /dev/null
+++ b/internal/winnow/sheaf.go
@@ -0,0 +1,106 @@
+package winnow
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// Kind is what may be done with a request again.
+type Kind uint8
+
+// The kinds.
+const (
+	Search Kind = iota // may run more than once
+	Record             // at most once: loans, payments, holds, reservations
+	kinds
+)
+
+// Outcome is how one attempt at a server ended, as its gate saw it.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Confirmed  Outcome = iota // a whole answer under its id and seal, in time
+	TurnedAway                // it said that it has not run
+	Unclear                   // reset, silence, cut short, garbled, without a seal: it may have run
+	Late                      // confirmed, but long after its aim
+	WrongID                   // another request's answer
+	outcomes
+)
+
+// Groups is in how many groups tenants fall. One tenant is always in one of them.
+const Groups = 16
+
+// Group is the group of a tenant, alike at all gates; requests without one have that of the empty name.
+func Group(tenant string) uint8 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(tenant))
+	return uint8(h.Sum32() % Groups)
+}
+
+// Spans of evidence.
+const (
+	Span   = 2 * time.Second   // of one bin
+	Window = 300 * time.Second // what is older counts no more
+	half   = 150 * time.Second // after so long it counts half
+)
+
+// Sheaf is what a gate tells of servers. Sheaves fold in any order, doubled or not; one that is lost is made good by
+// the next whole one.
+type Sheaf struct {
+	Witness string        // the gate's name
+	Life    int64         // of the gate's process
+	Zone    string        // the gate's
+	Now     time.Duration // its own steady clock; it means nothing to others but as an origin of bins
+	No      uint64        // of the gate's last change; a later Sheaf has a later Now or a higher No
+	Tried   int           // servers, of whatever service, tried in the last minute
+	Failing []string      // those of them at which a quarter or more was unclear; at most MostFailing, by name
+	Fails   int           // how many those are, named or not
+	Ears    []Ear
+}
+
+// MostFailing bounds the names in a Sheaf.
+const MostFailing = 64
+
+// Ear is what a gate saw of one server, of one kind and group of tenants, in one span.
+type Ear struct {
+	Server string // its life
+	Kind   Kind
+	Group  uint8
+	Bin    int32 // the witness's steady clock by Span
+	Ill    bool  // the witness itself was starved, cut off or leaving
+	Counts Counts
+}
+
+// Counts are numbers by outcome. Those of one Ear only ever grow.
+type Counts [outcomes]uint16
+
+// onto folds what was told of one ear at two times.
+func (c *Counts) onto(o Counts) {
+	for i := range c {
+		c[i] = max(c[i], o[i])
+	}
+}
+
+func (c *Counts) number() (n int) {
+	for _, k := range c {
+		n += int(k)
+	}
+	return n
+}
+
+// one is the weight of one outcome. Weights are whole numbers, so that their sums don't hang on an order.
+const one = 1 << 12
+
+// weights are what outcomes say against a server and for it. Turning away is honest and says neither.
+var weights = [outcomes]struct{ bad, good int64 }{
+	Confirmed: {0, one}, TurnedAway: {0, 0}, Unclear: {one, 0}, Late: {one / 4, one / 2}, WrongID: {one, 0},
+}
+
+func (c *Counts) weigh() (bad, good int64) {
+	for i, n := range c {
+		bad += int64(n) * weights[i].bad
+		good += int64(n) * weights[i].good
+	}
+	return bad, good
+}
--- /dev/null
+++ b/internal/winnow/stalk.go
@@ -0,0 +1,210 @@
+package winnow
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// How a server returns.
+const (
+	calm       = 5 * time.Second  // without doubt, before a doubtful one is fit
+	firstWait  = 5 * time.Second  // before the first trials; twice as long after each relapse
+	mostWait   = 5 * time.Minute  // at most
+	trialFor   = 30 * time.Second // in which trials must end, if anything in them was unclear
+	trialNeed  = 5.0              // confirmed, ...
+	trialGroup = 3.0              // ... at most so many of one group, ...
+	trialTimes = 8.0              // ... and so many for each unclear one
+	trialFail  = 1.5              // unclear, at most 1 of one group: a relapse
+	absolved   = 10 * time.Minute // fit for so long takes one relapse away; and so long without a word ends a verdict
+	mostRelaps = 6
+	round      = time.Second // of trials
+)
+
+// Reasons of levels.
+const (
+	whyUnclear = "too many unclear outcomes of requests that may run once"
+	whyFails   = "too many failures of requests that may run again"
+	whyRelapse = "its trials failed"
+	whyTrials  = "its trials went well"
+	whySilent  = "nothing was heard of it for long"
+	whyFew     = "some unclear outcomes"
+)
+
+// stalk is what a floor holds of one server.
+type stalk struct {
+	level    Level
+	why      string
+	since    time.Duration // of the level
+	trial    time.Duration // when trials began; 0: none
+	good     time.Duration // since when nothing speaks against it
+	last     reading
+	relapses int
+	returned time.Duration // when it last came back; evidence from before counts no more
+}
+
+func (s *stalk) to(now time.Duration, l Level, why string) {
+	if s.level != l {
+		s.since = now
+	}
+	s.level, s.why, s.trial, s.good = l, why, 0, now
+}
+
+func (s *stalk) wait() time.Duration { return min(mostWait, firstWait<<s.relapses) }
+
+// Step joins all that was heard into verdicts on the servers that there are. By and Stamp are the caller's.
+func (f *Floor) Step(now time.Duration, servers []Server) *Verdicts {
+	f.now, f.servers = max(f.now, now), servers
+	f.forget()
+	searches, records := f.shares(Search), f.shares(Record)
+	list := []Verdict{}
+	for _, sv := range servers {
+		s := f.stalks[sv.ID]
+		if s == nil {
+			s = &stalk{good: f.now, since: f.now}
+			f.stalks[sv.ID] = s
+		}
+		f.judge(sv.ID, s, [kinds]float64{limit(searches, sv.ID), limit(records, sv.ID)})
+		if s.level == Fit && s.relapses == 0 {
+			continue
+		}
+		list = append(list, Verdict{Server: sv.ID, Service: sv.Service, Level: s.level, Why: s.why, Age: f.now - s.since,
+			Share: s.last.share, Number: s.last.number, For: s.last.for_, Against: s.last.against, Relapses: s.relapses,
+			Trial: s.trial > 0, Round: uint32(f.now / round)})
+	}
+	slices.SortFunc(list, func(a, b Verdict) int { return strings.Compare(a.Server, b.Server) })
+	if f.fault == "no bound" {
+		return &Verdicts{List: list}
+	}
+	return &Verdicts{List: Bound(servers, list)}
+}
+
+func (f *Floor) judge(id string, s *stalk, limits [kinds]float64) {
+	if s.level >= UnfitRecord {
+		f.tryAgain(id, s)
+		return
+	}
+	for s.relapses > 0 && s.level == Fit && f.now-s.since >= absolved {
+		s.relapses--
+		s.since += absolved
+	}
+	search, record := f.read(id, Search, s.returned, limits[Search]), f.read(id, Record, s.returned, limits[Record])
+	switch {
+	case f.condemns(search, limits[Search]):
+		f.condemn(s, UnfitAll, whyFails, search)
+	case f.condemns(record, limits[Record]):
+		f.condemn(s, UnfitRecord, whyUnclear, record)
+	case f.doubts(record, limits[Record]) || f.doubts(search, limits[Search]):
+		s.good = f.now
+		if s.last = record; !f.doubts(record, limits[Record]) {
+			s.last = search
+		}
+		if s.level == Fit {
+			s.to(f.now, Doubtful, whyFew)
+		}
+	case record.bad >= need/4 && record.share >= limits[Record]/2:
+		s.good = f.now // neither: as it was
+	case s.level == Doubtful && f.now-s.good >= calm:
+		s.to(f.now, Fit, "")
+	}
+}
+
+func (f *Floor) condemn(s *stalk, l Level, why string, r reading) {
+	if s.returned > 0 && s.relapses < mostRelaps && f.fault != "forgives" {
+		s.relapses++
+	}
+	s.to(f.now, l, why)
+	s.last = r
+}
+
+// tryAgain lets a server that is out come back by its trials.
+func (f *Floor) tryAgain(id string, s *stalk) {
+	if s.trial == 0 {
+		if f.now-s.good >= s.wait() {
+			s.trial = f.now
+		}
+		return
+	}
+	kind := Record
+	if s.level == UnfitAll {
+		kind = Search
+	}
+	good, bad := trialsOf(add(map[string]*voice{}, f.words(id, kind, s.trial, f.usualFails(id))...))
+	switch {
+	case bad >= trialFail || bad > 0 && f.now-s.trial >= trialFor:
+		if s.relapses < mostRelaps && f.fault != "forgives" {
+			s.relapses++
+		}
+		s.to(f.now, s.level, whyRelapse)
+	case good >= trialNeed && good >= trialTimes*bad && s.level == UnfitAll:
+		s.to(f.now, UnfitRecord, whyTrials)
+		s.trial = f.now
+	case good >= trialNeed && good >= trialTimes*bad:
+		s.to(f.now, Doubtful, whyTrials)
+		s.returned = f.now
+	case bad == 0 && good == 0 && f.now-s.trial >= absolved:
+		s.to(f.now, Doubtful, whySilent)
+		s.returned = f.now
+	}
+}
+
+// trialsOf sums trials, with a cap for each group.
+func trialsOf(voices map[string]*voice) (good, bad float64) {
+	var group [Groups][2]float64
+	for _, v := range voices {
+		for g, x := range v.by {
+			group[g][0] += float64(x[0]) / one
+			group[g][1] += float64(x[1]) / one
+		}
+	}
+	for _, x := range group {
+		bad += min(1, x[0])
+		good += min(trialGroup, x[1])
+	}
+	return good, bad
+}
+
+// Adopt takes over what another barn's verdicts tell, for servers of which this one knows nothing: one that becomes
+// their keeper does not pardon them.
+func (f *Floor) Adopt(now time.Duration, list []Verdict) {
+	f.now = max(f.now, now)
+	for _, v := range list {
+		if s := f.stalks[v.Server]; s != nil && (s.level > Fit || s.relapses > 0) {
+			continue
+		}
+		f.stalks[v.Server] = &stalk{level: v.Level, why: v.Why, since: f.now - v.Age, good: f.now, relapses: v.Relapses,
+			last: reading{share: v.Share, number: v.Number, for_: v.For, against: v.Against}}
+	}
+}
+
+// Trialists are the gates that may send one trial each in a round of a verdict: most of gates, others in each round.
+func Trialists(v *Verdict, gates []string, most int) []string {
+	type ranked struct {
+		name   string
+		weight uint64
+	}
+	all := make([]ranked, len(gates))
+	for i, g := range gates {
+		var b [4]byte
+		for j := range b {
+			b[j] = byte(v.Round >> (8 * j))
+		}
+		all[i] = ranked{g, xxhash.Sum64String(v.Server + "\x00" + string(b[:]) + "\x00" + g)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		if a.weight != b.weight {
+			if a.weight > b.weight {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	var names []string
+	for _, r := range all[:min(most, len(all))] {
+		names = append(names, r.name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/winnow/verdict.go
@@ -0,0 +1,200 @@
+package winnow
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Level is how far a server is trusted. A higher one is stricter.
+type Level uint8
+
+// The levels.
+const (
+	Fit         Level = iota
+	Doubtful          // what may not be repeated goes elsewhere first
+	UnfitRecord       // nothing that may not be repeated, but for trials
+	UnfitAll          // nothing, but for trials
+)
+
+func (l Level) String() string {
+	return [...]string{"fit", "doubtful", "unfit for recording", "unfit for all"}[min(l, UnfitAll)]
+}
+
+// Serves tells whether a server of the level is to get requests of the kind beside trials.
+func (l Level) Serves(k Kind) bool { return l < UnfitRecord || l == UnfitRecord && k == Search }
+
+// Verdict is what holds of one life of a server.
+type Verdict struct {
+	Server   string
+	Service  string
+	Level    Level
+	Why      string
+	Age      time.Duration // for how long the level stands
+	Share    float64       // of outcomes that were against it when the level began, 0 to 1
+	Number   int           // outcomes that were joined
+	For      int           // witnesses
+	Against  int
+	Relapses int
+	Trial    bool // a few requests may try it: see Trialists
+	Round    uint32
+}
+
+// Verdicts are the verdicts of one barn, by Server; those of fit servers without relapses are left out.
+type Verdicts struct {
+	By    string
+	Stamp int64 // nanoseconds of Unix time: of one barn's the higher holds
+	Part  bool  // what is in neither List nor Gone is as this connection told it last
+	List  []Verdict
+	Gone  []string // with Part: those that need no word any more
+}
+
+// Staleness of a verdict at one who hears no news of it.
+const (
+	Stale   = 10 * time.Second // from then on it weighs a level less
+	Expired = time.Minute      // from then on it is none
+)
+
+// Aged is what a level comes to for one who has heard nothing for so long: its own outcomes have to do then.
+func (l Level) Aged(silent time.Duration) Level {
+	switch {
+	case silent > Expired:
+		return Fit
+	case silent > Stale && l > Doubtful:
+		return Doubtful
+	}
+	return l
+}
+
+// differs tells whether y has to be told to one who knows v: that it grows older is no news.
+func (v Verdict) differs(y Verdict) bool {
+	v.Age, y.Age = 0, 0
+	v.Number, y.Number, v.For, y.For, v.Against, y.Against = 0, 0, 0, 0, 0, 0
+	return v != y
+}
+
+// Since is what one who holds an older whole has to be told; nil: nothing.
+func (s *Verdicts) Since(old *Verdicts) *Verdicts {
+	if old == nil || old.By != s.By {
+		return s
+	}
+	p := &Verdicts{By: s.By, Stamp: s.Stamp, Part: true}
+	was := index(old.List)
+	for _, v := range s.List {
+		if o, ok := was[v.Server]; !ok || o.differs(v) {
+			p.List = append(p.List, v)
+		}
+		delete(was, v.Server)
+	}
+	for id := range was {
+		p.Gone = append(p.Gone, id)
+	}
+	slices.Sort(p.Gone)
+	if p.List == nil && p.Gone == nil {
+		return nil
+	}
+	return p
+}
+
+// Onto is the whole that an older one becomes. What is older than that changes nothing; a part without a whole is nil.
+func (s *Verdicts) Onto(old *Verdicts) *Verdicts {
+	if old != nil && old.By == s.By && old.Stamp >= s.Stamp {
+		return old
+	}
+	if !s.Part {
+		return s
+	}
+	if old == nil || old.By != s.By {
+		return nil
+	}
+	all := index(old.List)
+	for _, id := range s.Gone {
+		delete(all, id)
+	}
+	for _, v := range s.List {
+		all[v.Server] = v
+	}
+	return &Verdicts{By: s.By, Stamp: s.Stamp, List: sorted(all)}
+}
+
+func index(list []Verdict) map[string]Verdict {
+	m := make(map[string]Verdict, len(list))
+	for _, v := range list {
+		m[v.Server] = v
+	}
+	return m
+}
+
+func sorted(m map[string]Verdict) []Verdict {
+	var list []Verdict
+	for _, v := range m {
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(a, b Verdict) int { return strings.Compare(a.Server, b.Server) })
+	return list
+}
+
+// Server is one that is there.
+type Server struct {
+	ID       string
+	Service  string
+	Capacity int
+}
+
+// At most these parts of a service's capacity are out at once.
+const (
+	mostOutRecord = 1. / 2
+	mostOutAll    = 1. / 3
+)
+
+// leastBad is why a server serves that should not.
+const leastBad = "enough of its service is out: the least bad serve"
+
+// Join makes one list of several barns' verdicts. Where they differ the stricter holds, within what Bound leaves.
+func Join(servers []Server, lists ...[]Verdict) []Verdict {
+	all := map[string]Verdict{}
+	for _, list := range lists {
+		for _, v := range list {
+			o, ok := all[v.Server]
+			if !ok || cmp.Or(cmp.Compare(v.Level, o.Level), cmp.Compare(v.Share, o.Share), cmp.Compare(v.Relapses, o.Relapses), strings.Compare(v.Why, o.Why)) > 0 {
+				all[v.Server] = v
+			}
+		}
+	}
+	return Bound(servers, sorted(all))
+}
+
+// Bound lets the least bad of each service serve where too much of it would be out. It changes the list given.
+func Bound(servers []Server, list []Verdict) []Verdict {
+	size, total := map[string]int{}, map[string]int{}
+	for _, s := range servers {
+		size[s.ID] = max(1, s.Capacity)
+		total[s.Service] += size[s.ID]
+	}
+	worst := make([]*Verdict, 0, len(list))
+	for i := range list {
+		if size[list[i].Server] > 0 && list[i].Level >= UnfitRecord {
+			worst = append(worst, &list[i])
+		}
+	}
+	slices.SortFunc(worst, func(a, b *Verdict) int {
+		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(b.Share, a.Share), cmp.Compare(b.Age, a.Age), strings.Compare(a.Server, b.Server))
+	})
+	outRecord, outAll := map[string]int{}, map[string]int{}
+	for _, v := range worst {
+		n, of := size[v.Server], float64(total[v.Service])
+		if v.Level == UnfitAll && float64(outAll[v.Service]+n) > of*mostOutAll {
+			v.Level = UnfitRecord
+		}
+		if float64(outRecord[v.Service]+n) > of*mostOutRecord {
+			v.Level, v.Trial, v.Why = Doubtful, false, leastBad
+			continue
+		}
+		outRecord[v.Service] += n
+		if v.Level == UnfitAll {
+			outAll[v.Service] += n
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/winnow/winnow_test.go
@@ -0,0 +1,387 @@
+package winnow
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// yard is a fleet of gates in three zones, two services of servers, and one floor that hears all gates each second.
+type yard struct {
+	floor   *Floor
+	gates   []*Basket
+	told    []uint64
+	servers []Server
+	now     time.Duration
+	last    *Verdicts
+	wrong   string
+	times   int // each sheaf is heard so often
+}
+
+func newYard(fault string, gates, servers int) *yard {
+	y := &yard{floor: NewFloor(), told: make([]uint64, gates), times: 1, now: time.Hour}
+	y.floor.fault = fault
+	for i := range gates {
+		y.gates = append(y.gates, NewBasket(fmt.Sprintf("g%02d", i), string(rune('a'+i%3)), 1))
+	}
+	for i := range servers {
+		y.servers = append(y.servers, Server{ID: fmt.Sprintf("s%02d", i), Service: []string{"loans", "holds"}[i%2], Capacity: 8})
+	}
+	return y
+}
+
+func (y *yard) see(gate, server int, kind Kind, group uint8, o Outcome, times int) {
+	for range times {
+		y.gates[gate].Add(y.now-time.Duration(gate)*time.Minute/7, y.servers[server].ID, kind, group, o) // clocks differ
+	}
+}
+
+func (y *yard) step() {
+	for i, g := range y.gates {
+		s, no := g.Tell(y.now-time.Duration(i)*time.Minute/7, y.told[i], func(string) bool { return true })
+		y.told[i] = no
+		for range y.times {
+			y.floor.Hear(y.now, s)
+		}
+	}
+	y.last = y.floor.Step(y.now, y.servers)
+	y.now += time.Second
+	out := map[string]int{}
+	for _, v := range y.last.List {
+		if v.Level >= UnfitRecord {
+			out[v.Service]++
+		}
+	}
+	for s, n := range out {
+		if n > len(y.servers)/4 {
+			y.wrong = fmt.Sprint(n, " servers of ", s, " are out at once")
+		}
+	}
+}
+
+func (y *yard) verdict(server int) Verdict { return index(y.last.List)[y.servers[server].ID] }
+
+// want says what is wrong where server 0 isn't of one of the levels.
+func (y *yard) want(levels ...Level) string {
+	y.step()
+	v := y.verdict(0)
+	for _, l := range levels {
+		if v.Level == l {
+			return y.wrong
+		}
+	}
+	return fmt.Sprintf("%s %v", v.Level, v)
+}
+
+// all has every gate see some at each server, of four groups.
+func (y *yard) all(o func(gate, server, group int) Outcome) {
+	for g := range y.gates {
+		for s := range y.servers {
+			y.see(g, s, Record, uint8(g%4), o(g, s, g%4), 1)
+			y.see(g, s, Search, uint8(g%4), Confirmed, 1)
+		}
+	}
+}
+
+// mill plays a server that loses every second record from the start till it is mended, and gives the moments at which
+// its trials begin, and the one at which it is fit again; trials go by three gates a round.
+func (y *yard) mill(mended, till time.Duration) (trials []time.Duration, fit time.Duration, lost int) {
+	var names []string
+	for _, g := range y.gates {
+		names = append(names, g.name)
+	}
+	began, n, was := y.now, 0, Verdict{}
+	for y.now-began < till {
+		may := map[string]bool{}
+		if was.Trial {
+			for _, name := range Trialists(&was, names, 3) {
+				may[name] = true
+			}
+		}
+		for g, name := range names {
+			if n++; !was.Level.Serves(Record) && !may[name] {
+				continue
+			}
+			o := Confirmed
+			if y.now-began < mended && n%2 == 0 {
+				o = Unclear
+				lost++
+			}
+			y.see(g, 0, Record, uint8(n%7), o, 1)
+		}
+		y.step()
+		now := y.verdict(0)
+		if now.Trial && !was.Trial {
+			trials = append(trials, y.now-began)
+		}
+		if now.Level == Fit && was.Level != Fit {
+			fit = y.now - began
+		}
+		was = now
+	}
+	return trials, fit, lost
+}
+
+var stories = map[string]func(y *yard) string{
+	"one tenant condemns none": func(y *yard) string {
+		for g := range y.gates {
+			y.see(g, 0, Record, 3, Unclear, 40)
+		}
+		return y.want(Fit, Doubtful)
+	},
+	"one tenant absolves none": func(y *yard) string {
+		for g := range y.gates {
+			y.see(g, 0, Record, uint8(g%4), Unclear, 3)
+			y.see(g, 0, Record, uint8(g%4), Confirmed, 7)
+			y.see(g, 0, Record, 9, Confirmed, 100)
+		}
+		return y.want(UnfitRecord)
+	},
+	"a path condemns for nobody": func(y *yard) string {
+		for range 2 {
+			y.all(func(g, s, _ int) Outcome {
+				if g%3 == 0 && s == 0 {
+					return Unclear
+				}
+				return Confirmed
+			})
+		}
+		return y.want(Fit, Doubtful)
+	},
+	"a bad recorder serves searches": func(y *yard) string {
+		lost := 0
+		for n := 0; y.last == nil || y.verdict(0).Level < UnfitRecord; n++ {
+			if y.see(n%len(y.gates), 0, Record, uint8(n%5), Outcome(n%2*int(Unclear)), 1); n%2 == 1 {
+				lost++
+			}
+			y.see(n%len(y.gates), 0, Search, uint8(n%5), Confirmed, 1)
+			if y.step(); lost > 8 {
+				return "not condemned by the eighth unclear outcome"
+			}
+		}
+		if v := y.verdict(0); !v.Level.Serves(Search) || v.Level.Serves(Record) || v.Against < 2 {
+			return fmt.Sprint(v)
+		}
+		return ""
+	},
+	"one gate condemns none": func(y *yard) string {
+		for group := range uint8(8) {
+			y.see(0, 0, Record, group, Unclear, 10)
+		}
+		y.see(1, 0, Record, 2, Unclear, 1)
+		return y.want(Fit, Doubtful)
+	},
+	"gates that fail at all condemn none": func(y *yard) string {
+		y.all(func(g, s, _ int) Outcome { return Confirmed })
+		for _, g := range []int{0, 1, 3, 4} {
+			y.gates[g].ears = map[earKey]*held{} // it has seen these four alone
+			for s := range 4 {
+				y.see(g, s, Record, uint8(g), Unclear, 5)
+			}
+		}
+		return y.want(Fit)
+	},
+	"ill gates count little": func(y *yard) string {
+		for g := range 6 {
+			y.see(g, 0, Record, uint8(g), Unclear, 1)
+			y.gates[g].Ill(y.now - time.Duration(g)*time.Minute/7)
+		}
+		return y.want(Fit)
+	},
+	"half of a service stays": func(y *yard) string {
+		for range 20 {
+			y.all(func(_, s, _ int) Outcome { return Outcome(s % 2 * int(Unclear)) })
+			y.all(func(_, s, _ int) Outcome { return Confirmed })
+			y.step()
+		}
+		out := 0
+		for _, v := range y.last.List {
+			if v.Level >= UnfitRecord {
+				out++
+			}
+		}
+		if out == 0 {
+			return "none is out"
+		}
+		return y.wrong
+	},
+	"doubled evidence counts once": func(y *yard) string {
+		y.times = 3
+		for g := range 3 {
+			y.see(g, 0, Record, uint8(g), Unclear, 1)
+		}
+		return y.want(Fit, Doubtful)
+	},
+	"relapses slow the return": func(y *yard) string {
+		trials, _, lost := y.mill(time.Hour, 4*time.Minute)
+		if len(trials) < 3 || lost > 60 {
+			return fmt.Sprint("trials at ", trials, ", lost ", lost)
+		}
+		for i := 2; i < len(trials); i++ {
+			if trials[i]-trials[i-1] < (trials[i-1]-trials[i-2])*5/4 {
+				return fmt.Sprint("trials at ", trials)
+			}
+		}
+		return y.wrong
+	},
+	"a mended one returns": func(y *yard) string {
+		if _, fit, _ := y.mill(6*time.Second, 40*time.Second); fit == 0 {
+			return fmt.Sprint("it does not: ", y.verdict(0))
+		}
+		return y.wrong
+	},
+	"a server that fails at all goes": func(y *yard) string {
+		for g := range y.gates {
+			y.see(g, 0, Search, uint8(g%4), Unclear, 2)
+		}
+		return y.want(UnfitAll)
+	},
+}
+
+func TestStories(t *testing.T) {
+	for name, story := range stories {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, story(newYard("", 12, 12)), "") })
+	}
+}
+
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for fault, name := range map[string]string{
+		"no group cap": "one tenant condemns none", "one group absolves": "one tenant absolves none",
+		"one zone condemns": "a path condemns for nobody", "no witness cap": "one gate condemns none",
+		"trusts all": "gates that fail at all condemn none", "hears the ill": "ill gates count little",
+		"no bound": "half of a service stays", "adds": "doubled evidence counts once", "forgives": "relapses slow the return",
+	} {
+		t.Run(fault, func(t *testing.T) { assert.Assert(t, stories[name](newYard(fault, 12, 12)) != "") })
+	}
+}
+
+// Evidence in any order, doubled, and lost and made good by a whole one comes to the same.
+func TestFolding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		y := newYard("", 6, 6)
+		var sheaves []*Sheaf
+		for range rapid.IntRange(1, 4).Draw(t, "rounds") {
+			for range rapid.IntRange(1, 60).Draw(t, "outcomes") {
+				y.see(rapid.IntRange(0, 5).Draw(t, "gate"), rapid.IntRange(0, 5).Draw(t, "server"), Kind(rapid.IntRange(0, 1).Draw(t, "kind")),
+					uint8(rapid.IntRange(0, 15).Draw(t, "group")), Outcome(rapid.IntRange(0, 4).Draw(t, "outcome")), rapid.IntRange(1, 5).Draw(t, "times"))
+			}
+			y.now += time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond
+			for i, g := range y.gates {
+				var s *Sheaf
+				s, y.told[i] = g.Tell(y.now-time.Duration(i)*time.Minute/7, y.told[i], func(string) bool { return true })
+				if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+					sheaves = append(sheaves, s)
+				}
+			}
+		}
+		for i, g := range y.gates {
+			s, _ := g.Tell(y.now-time.Duration(i)*time.Minute/7, 0, func(string) bool { return true })
+			sheaves = append(sheaves, s)
+		}
+		other := NewFloor()
+		for _, s := range sheaves {
+			y.floor.Hear(y.now, s)
+		}
+		for _, s := range append(rapid.Permutation(sheaves).Draw(t, "order"), sheaves[:len(sheaves)/2]...) {
+			other.Hear(y.now, s)
+		}
+		assert.DeepEqual(t, y.floor.Step(y.now, y.servers), other.Step(y.now, y.servers))
+	})
+}
+
+// Whatever one tenant sees, it neither condemns one of whom all others speak well nor absolves one whom they condemn.
+func TestNoTenantAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		good := rapid.Bool().Draw(t, "good")
+		others, both := newYard("one group absolves", 6, 2), newYard("", 6, 2)
+		for range rapid.IntRange(0, 80).Draw(t, "outcomes") {
+			g, group, o := rapid.IntRange(0, 5).Draw(t, "gate"), uint8(rapid.IntRange(0, 14).Draw(t, "group")), Confirmed
+			if !good {
+				o = rapid.SampledFrom([]Outcome{Confirmed, Unclear, Unclear, Late, WrongID}).Draw(t, "outcome")
+			}
+			others.see(g, 0, Record, group, o, 1)
+			both.see(g, 0, Record, group, o, 1)
+		}
+		for g := range 6 {
+			o := Confirmed
+			if good {
+				o = Unclear
+			}
+			both.see(g, 0, Record, 15, o, rapid.IntRange(0, 100).Draw(t, "alone"))
+		}
+		others.step()
+		both.step()
+		if a, b := others.verdict(0).Level, both.verdict(0).Level; good && b >= UnfitRecord || a >= UnfitRecord && b < UnfitRecord {
+			t.Fatalf("without the tenant %s, with it %s", a, b)
+		}
+	})
+}
+
+// Lists of verdicts fold as they were, age, and keep to the part of a service when two barns' are joined.
+func TestVerdicts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := newYard("", 1, 8).servers
+		draw := func(stamp int64) *Verdicts {
+			all := map[string]Verdict{}
+			for _, s := range servers {
+				if rapid.Bool().Draw(t, "there") {
+					all[s.ID] = Verdict{Server: s.ID, Service: s.Service, Level: Level(rapid.IntRange(0, 3).Draw(t, "level")), Share: float64(rapid.IntRange(1, 9).Draw(t, "share")) / 10, Relapses: 1}
+				}
+			}
+			return &Verdicts{By: "b1", Stamp: stamp, List: sorted(all)}
+		}
+		a, b := draw(1), draw(2)
+		if part := b.Since(a); part != nil {
+			var text bytes.Buffer
+			assert.NilError(t, gob.NewEncoder(&text).Encode(part))
+			came := &Verdicts{}
+			assert.NilError(t, gob.NewDecoder(&text).Decode(came))
+			assert.DeepEqual(t, came.Onto(a), b)
+			assert.DeepEqual(t, came.Onto(came.Onto(a)), b)
+			assert.Assert(t, came.Onto(nil) == nil)
+		} else {
+			assert.Assert(t, reflect.DeepEqual(a.List, b.List))
+		}
+		out := map[string]int{}
+		x, y := Join(servers, a.List, b.List), Join(servers, b.List, a.List)
+		assert.DeepEqual(t, x, y)
+		for _, v := range x {
+			if v.Level >= UnfitRecord {
+				out[v.Service]++
+			}
+		}
+		assert.Assert(t, out["loans"] <= 2 && out["holds"] <= 2, "%v", out)
+	})
+	assert.Equal(t, UnfitAll.Aged(Stale), UnfitAll)
+	assert.Equal(t, UnfitAll.Aged(Stale+1), Doubtful)
+	assert.Equal(t, Doubtful.Aged(Expired+1), Fit)
+}
+
+// A barn that becomes a server's keeper pardons nothing, and memory has bounds.
+func TestAdoptAndBounds(t *testing.T) {
+	y := newYard("", 12, 12)
+	_, _, _ = y.mill(time.Hour, time.Minute)
+	next := NewFloor()
+	next.Adopt(y.now, y.last.List)
+	v, w := y.verdict(0), index(next.Step(y.now, y.servers).List)["s00"]
+	assert.Equal(t, v.Level, w.Level)
+	assert.Equal(t, v.Relapses, w.Relapses)
+	assert.Assert(t, w.Age >= v.Age)
+	for i := range 3 * mostEars {
+		b := y.gates[0]
+		b.Add(y.now+time.Duration(i)*time.Millisecond*30, fmt.Sprint("x", i%9000), Record, uint8(i), Unclear)
+		assert.Assert(t, len(b.ears) <= mostEars)
+	}
+	for i := range 3 * mostCells {
+		y.floor.Hear(y.now, &Sheaf{Witness: "g00", Now: Window, Ears: []Ear{{Server: "s00", Bin: int32(i % 150), Group: uint8(i % 16)}, {Server: fmt.Sprint(i)}}, Life: int64(i / 1000)})
+	}
+	assert.Assert(t, len(y.floor.cells["s00"]) <= mostCells && len(y.floor.cells) <= mostServers)
+	y.floor.Step(y.now+2*Window, nil)
+	assert.Equal(t, len(y.floor.cells)+len(y.floor.stalks)+len(y.floor.witnesses), 0)
+}
