Ask for proof against what is usual before a server is condemned

Four of the last eight outcomes unclear was enough, and forty servers are looked at each second in eight spans.

A reading now tells how much likelier it is of an ill server than of a usual one, by what the middle one of all others shows; it takes twelve e-folds. A stricter bar by share alone would not do: it hides a server that loses half under the same loss.

--- a/internal/winnow/floor.go
+++ b/internal/winnow/floor.go
@@ -11,7 +11,7 @@
 // Bounds of a floor's memory.
 const (
 	mostServers   = 4096 // whose evidence is kept
-	mostCells     = 4096 // of evidence of one server, 48 bytes each
+	mostCells     = 4096 // of evidence of one server, some 150 bytes each
 	mostWitnesses = 4096
 	futureBins    = 4    // by which a bin may lie ahead of what its sheaf tells as now
 	drift         = 5000 // one part in so many is by how much two steady clocks may differ
@@ -30,6 +30,7 @@
 }
 
 type cell struct {
+	from   *witness
 	counts Counts
 	ill    bool
 }
@@ -85,11 +86,11 @@
 		if e.Kind >= kinds || e.Group >= Groups || e.Bin > binOf(s.Now)+futureBins || e.Bin < binOf(s.Now-Window) {
 			continue
 		}
-		f.put(e, k)
+		f.put(e, k, w)
 	}
 }
 
-func (f *Floor) put(e Ear, w wit) {
+func (f *Floor) put(e Ear, by wit, w *witness) {
 	of := f.cells[e.Server]
 	if of == nil {
 		if len(f.cells) >= mostServers {
@@ -98,13 +99,13 @@
 		of = map[cellKey]*cell{}
 		f.cells[e.Server] = of
 	}
-	k := cellKey{w, e.Kind, e.Group, e.Bin}
+	k := cellKey{by, e.Kind, e.Group, e.Bin}
 	c := of[k]
 	if c == nil {
 		if len(of) >= mostCells {
 			f.thin(of)
 		}
-		c = &cell{}
+		c = &cell{from: w}
 		of[k] = c
 	}
 	if f.fault == "adds" {
@@ -117,8 +118,8 @@
 }
 
 // begins is when a cell's span began.
-func (f *Floor) begins(k cellKey) time.Duration {
-	return f.witnesses[k.wit].origin(f.now) + time.Duration(k.bin)*Span
+func (f *Floor) begins(k *cellKey, c *cell) time.Duration {
+	return c.from.origin(f.now) + time.Duration(k.bin)*Span
 }
 
 // thin drops the older half of a server's cells.
@@ -128,7 +129,7 @@
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(a, b cellKey) int {
-		return cmp.Or(cmp.Compare(f.begins(a), f.begins(b)), strings.Compare(a.name, b.name), cmp.Compare(a.kind, b.kind), cmp.Compare(a.group, b.group))
+		return cmp.Or(cmp.Compare(f.begins(&a, of[a]), f.begins(&b, of[b])), strings.Compare(a.name, b.name), cmp.Compare(a.kind, b.kind), cmp.Compare(a.group, b.group))
 	})
 	for _, k := range keys[:len(keys)/2] {
 		delete(of, k)
@@ -143,8 +144,8 @@
 	}
 	used := map[wit]bool{}
 	for id, of := range f.cells {
-		for k := range of {
-			if f.now-f.begins(k) > Window {
+		for k, c := range of {
+			if f.now-f.begins(&k, c) > Window {
 				delete(of, k)
 				continue
 			}
--- a/internal/winnow/join.go
+++ b/internal/winnow/join.go
@@ -14,9 +14,15 @@
 	witnessBad = 0.6 * need // ... and of one gate: neither can condemn alone
 	groupMass  = 6.0        // at most of one group, for and against
 	illWorth   = 0.25       // of what one saw who was ill itself
-	leastShare = 0.25       // against a server, of all, that condemn it; and three times what is usual
+	leastShare = 0.25       // against a server, of all, that condemn it; and twice what is usual
 	mostShare  = 0.6
-	usualTimes = 3.0
+	usualTimes = 2.0
+	proof      = 12.0 // in e-folds, that condemns
+	leastUsual = 0.02
+	mostUsual  = 0.45
+	spare      = 1.3
+	leastIll   = 0.5
+	mostIll    = 0.9
 	enoughSeen = 3    // servers that a gate must have tried to be compared
 	zoneGood   = 2.0  // for a server, without one group, that let a zone speak for it
 	fullExcess = 0.75 // servers failing at it beyond what is usual among gates, at which its word counts nothing
@@ -31,6 +37,7 @@
 	bad, good     float64
 	share         float64 // against it, without the group that speaks for it most
 	plain         float64 // share of all
+	proof         float64 // logarithm of how much likelier it is of an ill server than of a usual one
 	number        int
 	against, for_ int // witnesses
 	zonesAgainst  int
@@ -95,21 +102,24 @@
 // falls in.
 func (f *Floor) words(server string, kind Kind, since time.Duration, usual float64) (all [][]word) {
 	all = make([][]word, len(spans))
-	credit := map[wit]float64{}
+	credit := map[*witness]float64{}
 	for k, c := range f.cells[server] {
-		at := f.begins(k)
-		if k.kind != kind || at < since {
+		if k.kind != kind {
+			continue
+		}
+		at := f.begins(&k, c)
+		if at < since {
 			continue
 		}
 		i := slices.IndexFunc(spans, func(d time.Duration) bool { return f.now-at <= d })
 		if i < 0 {
 			continue
 		}
-		w := f.witnesses[k.wit]
-		worth, ok := credit[k.wit]
+		w := c.from
+		worth, ok := credit[w]
 		if !ok {
 			worth = f.credit(w, server, usual)
-			credit[k.wit] = worth
+			credit[w] = worth
 		}
 		worth *= math.Exp2(-float64(max(0, f.now-at)) / float64(half))
 		if c.ill && f.fault != "hears the ill" {
@@ -139,7 +149,7 @@
 }
 
 // join makes one reading of all voices: by group first, each with a cap, then by gate, each with a cap.
-func (f *Floor) join(voices map[string]*voice, limit float64) (r reading) {
+func (f *Floor) join(voices map[string]*voice, b bar) (r reading) {
 	var group [Groups][2]float64
 	for _, v := range voices {
 		for g, x := range v.by {
@@ -176,7 +186,7 @@
 		r.number += v.count
 		good, apart := t.sums()
 		switch {
-		case t.against(apart, limit):
+		case t.against(apart, b):
 			r.against++
 		case good > 0:
 			r.for_++
@@ -184,7 +194,7 @@
 	}
 	for _, z := range zones {
 		switch _, apart := z.sums(); {
-		case z.against(apart, limit):
+		case z.against(apart, b):
 			r.zonesAgainst++
 		case apart >= zoneGood:
 			r.zonesFor++
@@ -195,8 +205,9 @@
 	if r.good = good; r.bad > 0 {
 		r.plain, r.share = r.bad/(r.bad+good), r.bad/(r.bad+apart)
 		if f.fault == "one group absolves" {
-			r.share = r.plain
+			r.share, apart = r.plain, good
 		}
+		r.proof = r.bad*math.Log(b.ill/b.usual) + apart*math.Log((1-b.ill)/(1-b.usual))
 	}
 	return r
 }
@@ -222,33 +233,47 @@
 	return all, all - slices.Max(t.good[:])
 }
 
-func (t *tally) against(apart, limit float64) bool { return t.bad > 0 && t.bad >= limit*(t.bad+apart) }
+func (t *tally) against(apart float64, b bar) bool {
+	return t.bad > 0 && t.bad >= b.share*(t.bad+apart)
+}
 
 // read looks at all spans of a server's evidence since a moment, and gives the one that speaks most against it.
-func (f *Floor) read(server string, kind Kind, since time.Duration, limit float64) (worst reading) {
+func (f *Floor) read(server string, kind Kind, since time.Duration, b bar) (worst reading) {
+	if !f.anyBad(server, kind) {
+		return worst
+	}
 	voices := map[string]*voice{}
 	for _, list := range f.words(server, kind, since, f.usualFails(server)) {
 		add(voices, list)
-		r := f.join(voices, limit)
+		r := f.join(voices, b)
 		switch {
-		case f.condemns(r, limit):
+		case f.condemns(r, b):
 			return r
-		case worst.number == 0 || f.doubts(r, limit) && !f.doubts(worst, limit):
+		case worst.number == 0 || f.doubts(r, b) && !f.doubts(worst, b):
 			worst = r
 		}
 	}
 	return worst
 }
 
+func (f *Floor) anyBad(server string, kind Kind) bool {
+	for k, c := range f.cells[server] {
+		if bad, _ := c.counts.weigh(); bad > 0 && k.kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
 // condemns tells whether a reading makes a server unfit.
-func (f *Floor) condemns(r reading, limit float64) bool {
+func (f *Floor) condemns(r reading, b bar) bool {
 	zones := r.zonesAgainst > r.zonesFor && (r.zonesAgainst > 1 || f.zones() < 2)
-	return r.bad >= need && r.share >= limit && r.against > 1 && (zones || f.fault == "one zone condemns")
+	return r.bad >= need && r.share >= b.share && r.proof >= proof && r.against > 1 && (zones || f.fault == "one zone condemns")
 }
 
 // doubts tells whether a reading makes a server doubtful.
-func (f *Floor) doubts(r reading, limit float64) bool {
-	return r.bad >= need/2 && r.share >= limit && r.zonesAgainst > r.zonesFor
+func (f *Floor) doubts(r reading, b bar) bool {
+	return r.bad >= need/2 && r.share >= b.share && r.proof >= proof/2 && r.zonesAgainst > r.zonesFor
 }
 
 // zones are in how many zones there are gates that told something.
@@ -265,20 +290,32 @@
 	all := map[string]float64{}
 	for id := range f.cells {
 		voices := add(map[string]*voice{}, f.words(id, kind, f.now-64*Span, 0)...)
-		if r := f.join(voices, leastShare); r.bad+r.good >= need {
+		if r := f.join(voices, barOf(0)); r.bad+r.good >= need {
 			all[id] = r.plain
 		}
 	}
 	return all
 }
 
-// limit is the share that condemns a server: more where much is unclear at the middle one of all others.
-func limit(shares map[string]float64, server string) float64 {
+// bar is what evidence is held against.
+type bar struct {
+	share float64 // against a server, that condemns it
+	usual float64 // of outcomes that are unclear anyway, with something to spare
+	ill   float64 // of those of an ill server
+}
+
+func barOf(usual float64) bar {
+	p := min(mostUsual, max(leastUsual, spare*usual))
+	return bar{min(mostShare, max(leastShare, usualTimes*usual)), p, min(mostIll, max(leastIll, 2*p))}
+}
+
+// barFor is higher where much is unclear at the middle one of all other servers.
+func barFor(shares map[string]float64, server string) bar {
 	var others []float64
 	for id, x := range shares {
 		if id != server {
 			others = append(others, x)
 		}
 	}
-	return min(mostShare, max(leastShare, usualTimes*middle(others)))
+	return barOf(middle(others))
 }
--- /dev/null
+++ b/internal/winnow/measure_test.go
@@ -0,0 +1,181 @@
+package winnow
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+var (
+	measure = flag.Int("winnow.measure", 0, "measure with so many onsets a row")
+	calmFor = flag.Duration("winnow.calm", time.Hour, "how long false verdicts are counted")
+)
+
+// alone is a gate's own judging of one server, as policy/judge.go does it, but that nothing wears off: so it is better
+// here than there where outcomes are few.
+type alone struct {
+	errs  float64
+	till  time.Duration // out of use
+	first time.Duration // when it first was; 0: never
+	falls int
+}
+
+func (a *alone) see(now time.Duration, o Outcome) {
+	if now < a.till {
+		return
+	}
+	if o == Confirmed {
+		a.errs *= 0.8
+	} else {
+		a.errs += 0.19 * (1 - a.errs)
+	}
+	if a.errs > 0.45 {
+		a.falls++
+		a.till, a.errs = now+8*time.Second, 0.2
+		if a.first == 0 {
+			a.first = now
+		}
+	}
+}
+
+// large is 90 gates in four zones before 40 servers of 8 services.
+type large struct {
+	*yard
+	rnd  *rand.Rand
+	rate float64 // records a second at each server, over all gates
+	loss float64 // unclear by the network
+	own  map[[2]int]*alone
+	cost time.Duration
+	done bool // the floor is not asked any more
+}
+
+func newLarge(seed uint64, rate, loss float64) *large {
+	y := newYard("", 90, 40)
+	for i, g := range y.gates {
+		g.zone = string(rune('a' + i%4))
+	}
+	for i := range y.servers {
+		y.servers[i].Service = fmt.Sprint("v", i%8)
+	}
+	return &large{y, rand.New(rand.NewPCG(seed, 1)), rate, loss, map[[2]int]*alone{}, 0, false}
+}
+
+// second plays one, and gives how many records server 0 lost to both, to the floor's gates and to those alone.
+func (l *large) second(bad bool) (fleet, apart int) {
+	for s := range l.servers {
+		n := int(l.rate)
+		if l.rnd.Float64() < l.rate-float64(n) {
+			n++
+		}
+		for range n {
+			g, group := l.rnd.IntN(90), uint8(min(l.rnd.IntN(Groups), l.rnd.IntN(Groups)))
+			o := Confirmed
+			if l.rnd.Float64() < l.loss || s == 0 && bad && l.rnd.IntN(2) == 0 {
+				o = Unclear
+			}
+			a := l.own[[2]int{g, s}]
+			if a == nil {
+				a = &alone{}
+				l.own[[2]int{g, s}] = a
+			}
+			if s == 0 && o == Unclear {
+				fleet++
+				if a.first == 0 {
+					apart++
+				}
+			}
+			a.see(l.now, o)
+			if !l.done {
+				l.see(g, s, Record, group, o, 1)
+			}
+		}
+	}
+	if l.done {
+		l.now += time.Second
+		return fleet, apart
+	}
+	at := time.Now()
+	l.step()
+	l.cost += time.Since(at)
+	return fleet, apart
+}
+
+// TestMeasure prints the table of docs/measurements/fit.md.
+func TestMeasure(t *testing.T) {
+	if *measure == 0 {
+		t.Skip("a measurement")
+	}
+	mid := func(d []time.Duration) string {
+		slices.Sort(d)
+		say := func(x time.Duration) string {
+			if x >= 10*time.Minute {
+				return "over 600"
+			}
+			return fmt.Sprintf("%.0f", x.Seconds())
+		}
+		return say(d[len(d)/2]) + ", " + say(d[len(d)-1])
+	}
+	fmt.Println("| records a second at a server | unclear by the network | joined: s to verdict, median, worst | alone: the same over gates | unclear until then, joined, alone | an hour in calm, joined: false verdicts, doubts | false an hour, alone, all gates together | ms a step |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, rate := range []float64{4, 1, 0.25} {
+		for _, loss := range []float64{0, 0.02, 0.1, 0.2} {
+			var joined, apart []time.Duration
+			var lost, lostApart int
+			for seed := range uint64(*measure) {
+				l := newLarge(seed, rate, loss)
+				for range 60 {
+					l.second(false)
+				}
+				for _, a := range l.own {
+					a.first = 0
+				}
+				onset, verdict := l.now, 10*time.Minute
+				for l.now-onset < 10*time.Minute {
+					n, m := l.second(true)
+					if lostApart += m; verdict == 10*time.Minute {
+						if lost += n; l.verdict(0).Level >= UnfitRecord {
+							verdict, l.done = l.now-onset, true
+						}
+					}
+				}
+				joined = append(joined, verdict)
+				for g := range 90 {
+					d := 10 * time.Minute
+					if a := l.own[[2]int{g, 0}]; a != nil && a.first > 0 {
+						d = a.first - onset
+					}
+					apart = append(apart, d)
+				}
+			}
+			l, falls, doubts, own := newLarge(99, rate, loss), 0, 0, 0
+			was := map[string]Level{}
+			for began := l.now; l.now-began < *calmFor; {
+				l.second(false)
+				now := index(l.last.List)
+				for _, s := range l.servers {
+					is := now[s.ID].Level
+					if is >= UnfitRecord && was[s.ID] < UnfitRecord {
+						falls++
+					}
+					if is > Fit && was[s.ID] == Fit {
+						doubts++
+					}
+					was[s.ID] = is
+				}
+			}
+			for _, a := range l.own {
+				own += a.falls
+			}
+			hours := calmFor.Hours()
+			fmt.Printf("| %g | %g%% | %s | %s | %.1f, %.1f | %.1f, %.0f | %.0f | %.1f |\n", rate, 100*loss, mid(joined), mid(apart),
+				float64(lost)/float64(*measure), float64(lostApart)/float64(*measure), float64(falls)/hours, float64(doubts)/hours, float64(own)/hours,
+				float64(l.cost.Milliseconds())/calmFor.Seconds())
+			if l.wrong != "" {
+				t.Error(l.wrong)
+			}
+		}
+	}
+}
--- a/internal/winnow/stalk.go
+++ b/internal/winnow/stalk.go
@@ -66,7 +66,7 @@
 			s = &stalk{good: f.now, since: f.now}
 			f.stalks[sv.ID] = s
 		}
-		f.judge(sv.ID, s, [kinds]float64{limit(searches, sv.ID), limit(records, sv.ID)})
+		f.judge(sv.ID, s, [kinds]bar{barFor(searches, sv.ID), barFor(records, sv.ID)})
 		if s.level == Fit && s.relapses == 0 {
 			continue
 		}
@@ -81,7 +81,7 @@
 	return &Verdicts{List: Bound(servers, list)}
 }
 
-func (f *Floor) judge(id string, s *stalk, limits [kinds]float64) {
+func (f *Floor) judge(id string, s *stalk, bars [kinds]bar) {
 	if s.level >= UnfitRecord {
 		f.tryAgain(id, s)
 		return
@@ -90,21 +90,21 @@
 		s.relapses--
 		s.since += absolved
 	}
-	search, record := f.read(id, Search, s.returned, limits[Search]), f.read(id, Record, s.returned, limits[Record])
+	search, record := f.read(id, Search, s.returned, bars[Search]), f.read(id, Record, s.returned, bars[Record])
 	switch {
-	case f.condemns(search, limits[Search]):
+	case f.condemns(search, bars[Search]):
 		f.condemn(s, UnfitAll, whyFails, search)
-	case f.condemns(record, limits[Record]):
+	case f.condemns(record, bars[Record]):
 		f.condemn(s, UnfitRecord, whyUnclear, record)
-	case f.doubts(record, limits[Record]) || f.doubts(search, limits[Search]):
+	case f.doubts(record, bars[Record]) || f.doubts(search, bars[Search]):
 		s.good = f.now
-		if s.last = record; !f.doubts(record, limits[Record]) {
+		if s.last = record; !f.doubts(record, bars[Record]) {
 			s.last = search
 		}
 		if s.level == Fit {
 			s.to(f.now, Doubtful, whyFew)
 		}
-	case record.bad >= need/4 && record.share >= limits[Record]/2:
+	case record.bad >= need/4 && record.share >= bars[Record].share/2:
 		s.good = f.now // neither: as it was
 	case s.level == Doubtful && f.now-s.good >= calm:
 		s.to(f.now, Fit, "")
--- a/internal/winnow/winnow_test.go
+++ b/internal/winnow/winnow_test.go
@@ -138,7 +138,7 @@
 	"one tenant absolves none": func(y *yard) string {
 		for g := range y.gates {
 			y.see(g, 0, Record, uint8(g%4), Unclear, 3)
-			y.see(g, 0, Record, uint8(g%4), Confirmed, 7)
+			y.see(g, 0, Record, uint8(g%4), Confirmed, 6)
 			y.see(g, 0, Record, 9, Confirmed, 100)
 		}
 		return y.want(UnfitRecord)
