--- a/internal/winnow/floor.go
+++ b/internal/winnow/floor.go
@@ -12,6 +12,8 @@
 const (
 	mostServers   = 4096 // whose evidence is kept
 	mostCells     = 4096 // of evidence of one server, some 150 bytes each
+	mostAll       = 1 << 18 // of all servers together
+	leastCells    = 64      // of one, however many there are
 	mostWitnesses = 4096
 	futureBins    = 4    // by which a bin may lie ahead of what its sheaf tells as now
 	drift         = 5000 // one part in so many is by how much two steady clocks may differ
@@ -104,7 +106,7 @@
 	k := cellKey{by, e.Kind, e.Group, e.Bin}
 	c := of[k]
 	if c == nil {
-		if len(of) >= mostCells {
+		if len(of) >= min(mostCells, max(leastCells, mostAll/len(f.cells))) {
 			f.thin(of)
 		}
 		c = &cell{from: w}
--- a/internal/winnow/winnow_test.go
+++ b/internal/winnow/winnow_test.go
@@ -388,10 +388,10 @@
 		b.Add(y.now+time.Duration(i)*time.Millisecond*30, fmt.Sprint("x", i%9000), Record, uint8(i), Unclear)
 		assert.Assert(t, len(b.ears) <= mostEars)
 	}
-	for i := range 3 * mostCells {
+	for i := range 3 * mostCells { // with all the others a full one has fewer
 		y.floor.Hear(y.now, &Sheaf{Witness: "g00", Now: Window, Ears: []Ear{{Server: "s00", Bin: int32(i % 150), Group: uint8(i % 16)}, {Server: fmt.Sprint(i)}}, Life: int64(i / 1000)})
 	}
-	assert.Assert(t, len(y.floor.cells["s00"]) <= mostCells && len(y.floor.cells) <= mostServers)
+	assert.Assert(t, len(y.floor.cells["s00"]) <= 2*mostAll/mostServers && len(y.floor.cells) <= mostServers)
 	y.floor.Step(y.now+2*Window, nil)
 	assert.Equal(t, len(y.floor.cells)+len(y.floor.stalks)+len(y.floor.witnesses), 0)
 }
