Test that a barn calls word fresh only where the newest version is in force

Need: inForce in a barn's answer to a hand keeps a gate whose new configuration is still on its way from being called fresh, and so from serving keys that were taken away. No test of the barn failed without it.

Change: a hand of the crowd keeps the last answer; the test asks with the version before, with the next one held by the hand alone, with another text of the same number, with the next and with one above. Without inForce it fails at the second of them.

--- a/internal/barn/hands_test.go
+++ b/internal/barn/hands_test.go
@@ -292,6 +292,37 @@
 	})
 }
 
+// Word is fresh only for a gate that has the newest version in force. While that is on its way, in force of another
+// text, or held by the hand alone, the gate goes on with keys that may have been taken away.
+func TestFreshWhereTheNewestIsInForce(t *testing.T) {
+	playHands(t, 3, func(f *crowd) {
+		f.acknowledged(0, body(2, "a"))
+		in := func(gen uint64) furrow.Ping {
+			return furrow.Ping{Gen: gen, Held: gen, Sum: f.runs[0].store.Plot().Sum()}
+		}
+		gate, stop := f.helper(0, "1", in(2))
+		defer stop()
+		fresh := func(want bool, what string) {
+			f.pass(time.Second, gate)
+			assert.Assert(t, gate.pong.Fresh == want && gate.pong.Age < time.Second, "%s: %+v", what, gate.pong)
+		}
+		fresh(true, "the newest in force")
+		f.acknowledged(1, body(3, "a"))
+		fresh(false, "the next on its way")
+		held, other := in(3), in(3)
+		held.Gen = 2
+		gate.ping = held
+		fresh(false, "the next held by the hand")
+		other.Sum++
+		gate.ping = other
+		fresh(false, "another text in force")
+		gate.ping = in(3)
+		fresh(true, "the next in force")
+		gate.ping.Gen, gate.ping.Held = 4, 4
+		fresh(true, "one above in force")
+	})
+}
+
 // The platform's address, the zones and the rate change in service.
 func TestSettingsChange(t *testing.T) {
 	one, two := &platform{servers: []string{row("a", "ready")}}, &platform{servers: []string{row("b", "ready")}}
--- a/internal/barn/tell_test.go
+++ b/internal/barn/tell_test.go
@@ -31,6 +31,7 @@
 	changes []furrow.Change
 	servers *furrow.Servers
 	census  *furrow.Census
+	pong    furrow.Pong // the last
 }
 
 // helper connects one to a barn; the function ends its session.
@@ -51,7 +52,9 @@
 				return err
 			}
 			f.helping.Lock()
-			h.hear(x.Change)
+			if h.hear(x.Change); x.Pong != nil {
+				h.pong = *x.Pong
+			}
 			f.helping.Unlock()
 		}
 	})
