--- a/internal/winnow/floor.go
+++ b/internal/winnow/floor.go
@@ -10,8 +10,8 @@
 
 // Bounds of a floor's memory.
 const (
-	mostServers   = 4096 // whose evidence is kept
-	mostCells     = 4096 // of evidence of one server, some 150 bytes each
+	mostServers   = 4096    // whose evidence is kept
+	mostCells     = 4096    // of evidence of one server, some 150 bytes each
 	mostAll       = 1 << 18 // of all servers together
 	leastCells    = 64      // of one, however many there are
 	mostWitnesses = 4096
--- a/internal/winnow/measure_test.go
+++ b/internal/winnow/measure_test.go
@@ -207,3 +207,49 @@
 	}
 	fmt.Printf("a gate tells %d bytes a second, and %d at first; it is told %d of verdicts in %v\n", (up.Len()-first)/300, first, down.Len(), l.now-began)
 }
+
+// TestReturn prints what it costs that a server that lost half of its records for half a minute, or for good, returns by
+// trials: a ninth of the gates in each round, each with the first record of the service that it has.
+func TestReturn(t *testing.T) {
+	if *measure == 0 {
+		t.Skip("a measurement")
+	}
+	for _, ill := range []time.Duration{30 * time.Second, 30 * time.Minute} {
+		l, was, tries, lost, back, backs := newLarge(3, 1, 0.02), Verdict{}, 0, 0, time.Duration(0), 0
+		var names []string
+		for _, g := range l.gates {
+			names = append(names, g.name)
+		}
+		for began := l.now; l.now-began < 30*time.Minute; {
+			may := map[string]bool{}
+			if was.Trial {
+				for _, name := range Trialists(&was, names, 10) {
+					may[name] = true
+				}
+			}
+			for s := range l.servers {
+				g, to, o := l.rnd.IntN(90), s, Confirmed
+				if out := !was.Level.Serves(Record); s%8 == 0 && may[names[g]] {
+					to, may[names[g]] = 0, false
+					tries++
+				} else if s == 0 && out {
+					to = 8
+				}
+				if l.rnd.Float64() < l.loss || to == 0 && l.now-began < ill && l.rnd.IntN(2) == 0 {
+					if o = Unclear; to == 0 {
+						lost++
+					}
+				}
+				l.see(g, to, Record, uint8(l.rnd.IntN(Groups)), o, 1)
+			}
+			l.step()
+			now := l.verdict(0)
+			if now.Level < UnfitRecord && was.Level >= UnfitRecord {
+				backs++
+				back = l.now - began
+			}
+			was = now
+		}
+		fmt.Printf("ill for %v: %d trials, %d unclear at it in 30 minutes, came back %d times, last at %v, %d relapses\n", ill, tries, lost, backs, back, was.Relapses)
+	}
+}
