Try a connection that stood idle before a request that may run once goes on it

A server may forget an idle connection without a word and reset it at whatever is sent next.

The first bytes of the request, its method, now go ahead on a connection that stood idle for 50 ms. A reset comes back within the time in which a connection to that server comes up; where none has come after that and 4 ms the rest follows, else the request goes on another connection. What was sent of it can't have run. After a break requests of any kind do so for 10 s on connections as old, so that they don't spend tries there. The wait costs what a new connection would, and no new connection.

A break that comes back from far is now known as one: it was taken for the connection's fault within 20 ms only, less than the way between regions and back.

TestForgottenConnectionsLoseNothing fails without it at the third request.

--- /dev/null
+++ b/internal/node/forgot_test.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// forgetful has servers reset a connection that stood idle for long at the first byte that comes then, without a word
+// before.
+func (r *rig) forgetful(after time.Duration) *hall {
+	h := r.open(nil, nil)
+	for i := range r.list {
+		ln, err := r.net.Listen(r.t.Context(), "tcp", "127.0.0.1:0")
+		assert.NilError(r.t, err)
+		r.t.Cleanup(func() { ln.Close() })
+		r.list[i].Address = ln.Addr().String()
+		go h.accept(&dozing{ln, after}, nil, nil)
+	}
+	r.Servers(2, r.list)
+	return h
+}
+
+type dozing struct {
+	net.Listener
+	after time.Duration
+}
+
+func (d *dozing) Accept() (net.Conn, error) {
+	c, err := d.Listener.Accept()
+	return &dozy{Conn: c, after: d.after, last: time.Now()}, err
+}
+
+type dozy struct {
+	net.Conn
+	after time.Duration
+	last  time.Time
+}
+
+func (c *dozy) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err == nil && time.Since(c.last) > c.after {
+		_ = c.Conn.(interface{ SetLinger(int) error }).SetLinger(0)
+		c.Conn.Close()
+		return 0, io.EOF
+	}
+	c.last = time.Now()
+	return n, err
+}
+
+// A request that may run once is not lost on a connection that its server has forgotten without a word: it goes on
+// another, at once, and reaches a server once. Nor does one that may be repeated spend its tries there for long.
+func TestForgottenConnectionsLoseNothing(t *testing.T) {
+	for _, path := range []string{"/act/", "/get/"} {
+		play(t, false, func(r *rig) {
+			h := r.forgetful(300 * time.Millisecond)
+			const n = 60
+			for i := range n {
+				a := r.ask(path, "")
+				assert.Equal(t, a.StatusCode, 200, "%s, %d: %s", path, i, a.body)
+				assert.Assert(t, a.took < 60*time.Millisecond, "%v", a.took)
+				time.Sleep(400 * time.Millisecond)
+			}
+			assert.Equal(t, len(h.seen()), n)
+			assert.Assert(t, r.Estate.node.up.open <= 3)
+		})
+	}
+}
+
+// A connection that its server still knows is used again, for what may run once too, and a request that goes there in
+// two parts is the same as in one.
+func TestTriedConnectionsAreUsedAgain(t *testing.T) {
+	framings(t, func(t *testing.T, chunked bool) {
+		play(t, false, func(r *rig) {
+			h := r.open(nil, nil)
+			for i := range 12 {
+				c := r.send(upload("/act/", content(large), chunked))
+				a := r.answer(c)
+				c.Close()
+				assert.Equal(t, a.StatusCode, 200, "%d: %s", i, a.body)
+				time.Sleep(300 * time.Millisecond)
+			}
+			assert.Equal(t, h.complete(), 12)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			assert.Assert(t, len(h.conns) <= 3, "%d connections", len(h.conns))
+			for _, v := range h.visits {
+				assert.Equal(t, fmt.Sprint(v.Method, len(v.body)), fmt.Sprint(http.MethodPost, large))
+			}
+		})
+	})
+}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -121,8 +121,9 @@
 	}
 	msg := buffers.Get().(*[]byte)
 	b := appendForward((*msg)[:0], req, server, left)
-	n, err := c.Write(b)
-	whole := n == len(b)
+	n, err := c.Write(b[c.ahead:])
+	whole := c.ahead+n == len(b)
+	c.ahead = 0
 	if *msg = b; cap(b) <= 4*leastBuf {
 		buffers.Put(msg)
 	}
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -2,8 +2,10 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -14,6 +16,12 @@
 	ageShare = 0.1                   // of the requests in a span that may break so
 	ageLeast = 3.0                   // breaks before a span is held to be too old
 	ageFade  = 0.98                  // what a second leaves of the counts: servers change
+
+	// On a system's wire a connection that stood idle for long is tried first.
+	tryFrom   = 50 * time.Millisecond // younger ones are not
+	tryMargin = 4 * time.Millisecond  // beyond the least time in which a reset comes back
+	tryWorst  = 100 * time.Millisecond
+	doubtFor  = 10 * time.Second // after a break requests of any kind try a connection as old
 )
 
 // idleAges learns for how long an idle connection can be used again. App servers
@@ -21,16 +29,18 @@
 // a reset, after which a keyed one has few ways left.
 type idleAges struct {
 	used, broke [ageSpans]float64
+	last        [ageSpans]time.Duration // when one broke; 0: never
 }
 
 func ageSpan(age time.Duration) int { return min(ageSpans-1, bits.Len64(uint64(max(0, age)/ageStep))) }
 
 // note takes in how a request on a connection of some age went.
-func (x *idleAges) note(age, took time.Duration, code policy.Code, begun bool) {
+func (x *idleAges) note(age, now, took time.Duration, code policy.Code, begun bool) {
 	i := ageSpan(age)
 	x.used[i]++
 	if code == policy.Reset && !begun && took < ageQuick {
 		x.broke[i]++
+		x.broken(age, now)
 	}
 }
 
@@ -44,9 +54,70 @@
 	return age
 }
 
+// broken takes in that a connection of some age was forgotten.
+func (x *idleAges) broken(age, now time.Duration) { x.last[ageSpan(age)] = now }
+
+// doubtful tells whether one as old, or younger, broke lately.
+func (x *idleAges) doubtful(age, now time.Duration) bool {
+	for _, at := range x.last[:ageSpan(age)+1] {
+		if at > 0 && now-at < doubtFor {
+			return true
+		}
+	}
+	return false
+}
+
 func (x *idleAges) fade() {
 	for i := range x.used {
 		x.used[i] *= ageFade
 		x.broke[i] *= ageFade
 	}
 }
+
+// trial tells whether a connection that stood idle has to be tried before the request goes: always where that may run
+// only once, else where one as old broke lately.
+func (u *upstream) trial(a *attempt, c *upConn) bool {
+	if !u.estate || c.used == 0 {
+		return false
+	}
+	now := u.clock.now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now-c.used >= tryFrom && (a.once || u.ages.doubtful(now-c.used, now))
+}
+
+// stands tells whether a server still knows a connection that stood idle. One that forgot it without a word resets it
+// at whatever comes next: so the request's first bytes go ahead, and the others follow when a reset would be here. A
+// request of which that is all has not run.
+func (u *upstream) stands(a *attempt, c *upConn, req *clientRequest) bool {
+	if !a.hold(c) {
+		return true // given up: the caller sees to it
+	}
+	age := u.clock.now() - c.used
+	if c.SetDeadline(u.clock.time(a.deadline)) == nil {
+		n, err := c.Write(req.method)
+		if c.ahead = n; err == nil {
+			world.Pause(u.clock, min(tryWorst, c.reach+c.reach/4+tryMargin))
+			if alive(c) {
+				return true
+			}
+		}
+	}
+	if a.hold(nil) {
+		u.mu.Lock()
+		u.ages.broken(age, u.clock.now())
+		if s := u.servers[a.server]; s != nil { // it may have forgotten all that are older
+			older := u.clock.now() - age
+			s.idle = slices.DeleteFunc(s.idle, func(o *upConn) bool {
+				if o.used > older {
+					return false
+				}
+				o.Close()
+				u.open--
+				return true
+			})
+		}
+		u.mu.Unlock()
+	}
+	return false
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -364,7 +364,7 @@
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
-	a.writeBy = a.deadline
+	a.writeBy, a.once = a.deadline, c.effect == policy.Unsafe
 	if c.ranAt > 0 && c.effect == policy.Keyed {
 		a.writeBy = min(a.writeBy, c.ranAt+c.class.Window)
 	}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -18,7 +18,8 @@
 	state policy.State
 	since time.Duration // when this edge node heard that it drains
 	idle  []*upConn
-	most  int // idle ones kept; 0: any number
+	most  int           // idle ones kept; 0: any number
+	reach time.Duration // the least time in which a connection came up; 0: none has
 }
 
 // update takes over the list or changes to it.
@@ -38,7 +39,7 @@
 		}
 		if t.State != "DELETED" && (s.addr != t.Endpoint || s.boot != t.BootMS) {
 			u.dropIdle(s) // they lead to the process before
-			s.addr, s.boot = t.Endpoint, t.BootMS
+			s.addr, s.boot, s.reach = t.Endpoint, t.BootMS, 0
 		}
 		s.most = t.mostIdle
 		u.become(s, targetStates[t.State], now)
@@ -107,6 +108,20 @@
 	return nil, s.addr, true
 }
 
+// reached takes in how long a connection took to come up, and returns the least such time.
+func (u *upstream) reached(id policy.ServerID, took time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.servers[id]
+	if s == nil {
+		return took
+	}
+	if s.reach == 0 || took < s.reach {
+		s.reach = took
+	}
+	return s.reach
+}
+
 // dropOldest closes the connection that is idle for longest.
 func (u *upstream) dropOldest() bool {
 	var from *appServer
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -58,6 +58,9 @@
 	head head
 	used time.Duration
 	up   *upstream
+
+	reach time.Duration // the least time in which a connection to its server came up
+	ahead int           // bytes of the request that were written to try it
 }
 
 // Read gives up an answer that has begun and stops.
@@ -78,6 +81,7 @@
 	sent     time.Duration // when the module asked for it
 	deadline time.Duration // when it is given up
 	writeBy  time.Duration // written later it might run twice: its repeat would not be known as one
+	once     bool          // it can't be sent again where it may have run
 
 	mu        sync.Mutex
 	cancelled bool
@@ -146,10 +150,15 @@
 // is closed before do returns.
 func (u *upstream) do(a *attempt, req *clientRequest) result {
 	c, addr, ok := u.take(a.server)
+	for ok && c != nil && u.trial(a, c) && !u.stands(a, c, req) {
+		u.discard(c)
+		c, addr, ok = u.take(a.server)
+	}
 	if !ok {
 		return result{code: policy.ConnectFailed}
 	}
 	if c == nil {
+		began := u.clock.now()
 		conn, err := u.connect(a, addr)
 		if err != nil {
 			u.discard(nil)
@@ -159,6 +168,7 @@
 		c.in.src = c
 		if u.estate {
 			c.in.most, c.in.window = math.MaxInt, bodyWindow
+			c.reach = u.reached(a.server, u.clock.now()-began)
 		}
 	}
 	now := u.clock.now()
@@ -179,7 +189,7 @@
 	}
 	if c.used > 0 {
 		u.mu.Lock()
-		u.ages.note(now-c.used, u.clock.now()-now, r.code, len(c.in.buf) > 0)
+		u.ages.note(now-c.used, u.clock.now(), u.clock.now()-now-c.reach, r.code, len(c.in.buf) > 0)
 		u.mu.Unlock()
 	}
 	if !a.hold(nil) { // cancelled: its connection is closed already
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -244,16 +244,16 @@
 func TestLearnsHowLongConnectionsLast(t *testing.T) {
 	var x idleAges
 	for range 40 {
-		x.note(20*time.Millisecond, time.Millisecond, policy.OK, true)
-		x.note(150*time.Millisecond, time.Millisecond, policy.OK, true)
-		x.note(150*time.Millisecond, time.Second, policy.Reset, false) // broke at work
-		x.note(150*time.Millisecond, time.Millisecond, policy.Reset, true)
+		x.note(20*time.Millisecond, time.Second, time.Millisecond, policy.OK, true)
+		x.note(150*time.Millisecond, time.Second, time.Millisecond, policy.OK, true)
+		x.note(150*time.Millisecond, time.Second, time.Second, policy.Reset, false) // broke at work
+		x.note(150*time.Millisecond, time.Second, time.Millisecond, policy.Reset, true)
 	}
 	if got := x.most(time.Minute); got != time.Minute {
 		t.Fatalf("%v while none broke for its age", got)
 	}
 	for range 40 {
-		x.note(150*time.Millisecond, time.Millisecond, policy.Reset, false)
+		x.note(150*time.Millisecond, time.Second, time.Millisecond, policy.Reset, false)
 	}
 	if got := x.most(time.Minute); got != 128*time.Millisecond {
 		t.Fatalf("%v, want 128ms: those of 150ms break", got)
