--- a/internal/greenhouse/measure_test.go
+++ b/internal/greenhouse/measure_test.go
@@ -78,8 +78,11 @@
 }
 
 // inForce sends a change and returns when it was in force at each of some gates, from its acknowledgement on.
-func (o *House) inForce(gates, at []*orchard.Node) (list times) {
-	w := o.Word().Clone()
+func (o *House) inForce(gates, at []*orchard.Node) times {
+	return o.inForceOf(o.Word().Clone(), gates, at)
+}
+
+func (o *House) inForceOf(w *orchard.Word, gates, at []*orchard.Node) (list times) {
 	acked := make(chan time.Time, 1)
 	go func() {
 		if !o.Operator.Replace(w, at...) {
--- a/internal/orchard/grown_test.go
+++ b/internal/orchard/grown_test.go
@@ -79,7 +79,7 @@
 		}
 		o.Pass(7 * time.Second)
 	}},
-	{"burst", 250, 0.6, 400 * time.Millisecond, tight, func(o *House) {
+	{"burst", 250, 0.6, 300 * time.Millisecond, tight, func(o *House) {
 		o.Clients.SetRate(900)
 		o.Pass(3 * time.Second)
 		o.Clients.SetRate(250)
