--- a/internal/orchard/grown_test.go
+++ b/internal/orchard/grown_test.go
@@ -132,13 +132,13 @@
 		o.Pass(contact)
 		o.Replace(moved(o.Word()))
 		empty, slow := []*Node{o.Core(0), o.Core(3)}, o.Core(2)
+		began := time.Now()
 		o.PowerOff(empty...)
 		for _, n := range empty {
 			assert.NilError(t, o.Wipe(n))
 		}
 		o.Disk(slow).SetLatency(150 * time.Millisecond)
 		o.PowerOn(empty...)
-		began := time.Now()
 		o.Pass(syncs)
 		w := o.Word().Clone()
 		w.Tenants[0].Keys = []string{"key-ana-2"}
