Try no idle connection for longer than 12 ms

What would take longer than 12 ms is used untried now: a break still keeps what may run once off such connections.

--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -20,7 +20,7 @@
 	// On a system's wire a connection that stood idle for long is tried first.
 	tryFrom   = 50 * time.Millisecond // younger ones are not
 	tryMargin = 4 * time.Millisecond  // beyond the least time in which a reset comes back
-	tryWorst  = 100 * time.Millisecond
+	tryWorst  = 12 * time.Millisecond // what would take longer is not tried
 	doubtFor  = 10 * time.Second      // after a break: what may run once takes none as old, and all others try it
 	doubtLate = 60 * time.Millisecond // a reset with no byte of an answer that comes so soon is a break for that
 )
@@ -81,7 +81,7 @@
 // only once, else where one as old broke lately. A trial does not wait for resets that come late, so what may run once
 // takes none as old then.
 func (u *upstream) trial(a *attempt, c *upConn) bool {
-	if !u.estate || c.used == 0 {
+	if !u.estate || c.used == 0 || c.tryFor() > tryWorst {
 		return false
 	}
 	now := u.clock.now()
@@ -90,6 +90,9 @@
 	return now-c.used >= tryFrom && (a.once || u.ages.doubtful(now-c.used, now))
 }
 
+// tryFor is how long a trial takes: a reset is back by then, unless it comes late.
+func (c *upConn) tryFor() time.Duration { return c.reach + c.reach/4 + tryMargin }
+
 // stands tells whether a server still knows a connection that stood idle. One that forgot it without a word resets it
 // at whatever comes next: so the request's first bytes go ahead, and the others follow when a reset would be here. A
 // request of which that is all has not run.
@@ -101,7 +104,7 @@
 	if c.SetDeadline(u.clock.time(a.deadline)) == nil {
 		n, err := c.Write(req.method)
 		if c.ahead = n; err == nil {
-			world.Pause(u.clock, min(tryWorst, c.reach+c.reach/4+tryMargin))
+			world.Pause(u.clock, c.tryFor())
 			if alive(c) {
 				return true
 			}
