--- a/internal/node/forgot_test.go
+++ b/internal/node/forgot_test.go
@@ -20,25 +20,25 @@
 		assert.NilError(r.t, err)
 		r.t.Cleanup(func() { ln.Close() })
 		r.list[i].Address = ln.Addr().String()
-		go h.accept(&dozing{ln, after, late}, nil, nil)
+		go h.accept(&forgetful{ln, after, late}, nil, nil)
 	}
 	r.Servers(2, r.list)
 	return h
 }
 
-type dozing struct {
+type forgetful struct {
 	net.Listener
 	after, late time.Duration
 }
 
-func (d *dozing) Accept() (net.Conn, error) {
+func (d *forgetful) Accept() (net.Conn, error) {
 	c, err := d.Listener.Accept()
-	return &dozy{Conn: c, dozing: d, last: time.Now()}, err
+	return &dozy{Conn: c, forgetful: d, last: time.Now()}, err
 }
 
 type dozy struct {
 	net.Conn
-	*dozing
+	*forgetful
 	last time.Time
 }
 
