--- a/policy/bounds_test.go
+++ b/policy/bounds_test.go
@@ -60,16 +60,3 @@
 		t.Errorf("%d of 60 passed at once at a root that has just started, of a store of 10", n)
 	}
 }
-
-// Where gateways serve many services, one that is asked for little is lent too, for its bursts.
-func TestLittleAskedIsLentToo(t *testing.T) {
-	m := newMeadow(2, 1, fieldServers(4, "s"), limited(100, 100))
-	m.ask(0, Request{Customer: "t", Plan: "t", Class: "safe", Service: "s"})
-	m.pass(4*time.Second, nil)
-	c := m.gs[0].customers[keyOf("t")]
-	c.set[0].rate = 20 // 10 a second, of a part of 55
-	m.gs[0].lend(c, 250*ms)
-	if c.lent < 2 {
-		t.Errorf("%.2f lent", c.lent)
-	}
-}
--- a/policy/store.go
+++ b/policy/store.go
@@ -136,7 +136,7 @@
 	}
 	part, want := c.plan.HardRate/c.n, 0.0
 	if g.set.Field != nil {
-		part = 0 // bursts come on top of a demand that looks small
+		part *= lendFrom
 	}
 	for _, v := range c.set {
 		v.want = 0
--- a/policy/values.go
+++ b/policy/values.go
@@ -85,6 +85,7 @@
 
 	lendSpan  = 300 * time.Millisecond // what is lent of a ceiling arrives in this time
 	lendAhead = 500 * time.Millisecond // own demand that is not lent
+	lendFrom  = 0.5                    // of a part: who uses more asks for more; bursts come on top
 	lendMost  = 2.0                    // of what a peer asks for beyond its part
 
 	// Where gateways serve many services.
