Take a hand's connection under its lock before it is finished

Cause: at its end a hand lets each barn's connection write what was said last; the goroutine read the connection after the lock was given up, while the one that ends sets it to none. Seen by the race detector in internal/fair, whose tests fail without the mend when a connection ends at that moment; it could also have ended the process on a missing connection.

--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -138,7 +138,8 @@
 	var all sync.WaitGroup
 	for _, b := range h.barns {
 		if b.conn != nil {
-			all.Go(func() { b.conn.Finish(last) })
+			c := b.conn // it may be over, and nil, before it is finished
+			all.Go(func() { c.Finish(last) })
 		}
 	}
 	h.mu.Unlock()
