Leave open the connections of the app that fails every request

TestKeyUnderTwoRevisions failed now and then: a further try was sent 0 times. The app server of the test closed its connection after an answer that did not say so. Where the close came after the node's next check of the connection, the next request was written onto it and lost; it may have run, so it must not go out again. Ruled out: servers out of use (pick falls back to them), budgets.

--- a/internal/node/booked_test.go
+++ b/internal/node/booked_test.go
@@ -192,7 +192,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if count[r.Header.Get("X-Request-Id")]++; count[r.Header.Get("X-Request-Id")] == 1 {
-			return says(c, r, "500 Internal Server Error", "", "") && false
+			return says(c, r, "500 Internal Server Error", "", "")
 		}
 		return says(c, r, "200 OK", "", "x")
 	})
@@ -226,7 +226,7 @@
 		mu.Lock()
 		count++
 		mu.Unlock()
-		return says(c, r, "500 Internal Server Error", "", "") && false
+		return says(c, r, "500 Internal Server Error", "", "")
 	})
 	n := nodeWith(t, app.Addr(), app.Addr())
 	tryAs := func(class string, repeat routebook.Repeat, key string) int {
