Make every end of an attempt one verdict, and pass long failures on

Cause: results of attempts were made in some ten places of internal/node, each with its own idea of what may have run, and a body that stalled on a second attempt was answered 408 whatever the first had come to. A failure beyond the window of a repeatable request was let go of: its client got 502 instead.

Change: internal/verdict names the nine ends; a course adds them up and alone makes answers of our own, so a promise needs a request that has not run. A long failure waits at its server while another is asked, and else goes back as it is.

--- a/internal/node/broken_test.go
+++ b/internal/node/broken_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -272,6 +273,63 @@
 	})
 }
 
+// A long failure of a repeatable request waits for what another server says, and is its client's, unchanged, where that
+// is nothing better.
+func TestLongFailuresComeBack(t *testing.T) {
+	long := func(c net.Conn, q *http.Request) bool {
+		_, err := c.Write(told(q, "500 No", content(large), true))
+		return err == nil
+	}
+	short := func(c net.Conn, q *http.Request) bool {
+		_, err := c.Write(told(q, "502 No", content(3), false))
+		return err == nil
+	}
+	none := func(net.Conn, *http.Request) bool { return false }
+	full := func(c net.Conn, q *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", q.Header.Get(fieldID))
+		return true
+	}
+	for name, c := range map[string]struct {
+		acts     []func(net.Conn, *http.Request) bool // by attempts
+		from, to string                               // in the client's request
+		want     string
+	}{
+		"always":         {acts: []func(net.Conn, *http.Request) bool{long, long, long}, want: "500 300001 s"},
+		"then refused":   {acts: []func(net.Conn, *http.Request) bool{long, full, full}, want: "500 300001 s"},
+		"then broken":    {acts: []func(net.Conn, *http.Request) bool{full, long, none}, want: "500 300001 s"},
+		"then another":   {acts: []func(net.Conn, *http.Request) bool{long, none, short}, want: "502 3 s"},
+		"end not known":  {acts: []func(net.Conn, *http.Request) bool{long, long, long}, from: "HTTP/1.1", to: "HTTP/1.0", want: "502 6 "},
+		"not repeatable": {acts: []func(net.Conn, *http.Request) bool{long}, from: "/get/", to: "/act/", want: "500 300001 s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, false, func(r *rig) {
+				times := 0
+				h := r.open(nil, func(s net.Conn, q *http.Request) bool { times++; return c.acts[times-1](s, q) })
+				conn := r.send([]byte(strings.Replace(wired("/get/", patient), c.from, c.to, 1)))
+				defer conn.Close()
+				a, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				assert.NilError(t, err)
+				body, err := io.ReadAll(a.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, fmt.Sprintf("%d %d %s", a.StatusCode, len(body), a.Header.Get(fieldSeal)), c.want)
+				assert.Assert(t, len(body) < large || bytes.Equal(body, content(large)))
+				assert.Equal(t, h.complete(), len(c.acts))
+				time.Sleep(10 * time.Millisecond)
+				synctest.Wait()
+				r.in(func(l *loop) { // nothing is held any more
+					l.up.mu.Lock()
+					defer l.up.mu.Unlock()
+					idle := 0
+					for _, s := range l.up.servers {
+						idle += len(s.idle)
+					}
+					assert.Equal(t, l.up.open, idle)
+				})
+			})
+		})
+	}
+}
+
 // An answer that is on its way to its client is not called back for another, however long it takes, and its server is
 // not held for one that is silent; nor is a request that can't be sent again.
 func TestLongOnesAreNotCalledBack(t *testing.T) {
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -2,13 +2,11 @@
 
 import (
 	"bytes"
-	"errors"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
-	"pepperfall.example/pepperfall/policy"
+	"pepperfall.example/pepperfall/internal/verdict"
 )
 
 const (
@@ -117,7 +115,7 @@
 func (u *upstream) forward(a *attempt, c *upConn, req *clientRequest, left time.Duration) (result, bool) {
 	server := u.uid(a.server)
 	if server == "" || c.SetDeadline(u.clock.time(a.deadline)) != nil {
-		return result{code: policy.ConnectFailed}, false
+		return ended(verdict.Unsent, errNoWay), false
 	}
 	msg := buffers.Get().(*[]byte)
 	b := appendForward((*msg)[:0], req, server, left)
@@ -128,7 +126,7 @@
 		buffers.Put(msg)
 	}
 	if !whole {
-		return result{code: policy.ConnectFailed}, false
+		return ended(verdict.Unsent, err), false
 	}
 	bare, written := string(req.method) == "HEAD", u.clock.now()
 	status, body, framed, unsent := 0, []byte(nil), false, req.estate.front.unread()
@@ -157,15 +155,14 @@
 	}
 	spent := req.estate.front.spent()
 	if err != nil || status == 0 {
+		r := u.unanswered(a, err)
 		if unsent && !req.estate.front.ending() { // and never will be sent
-			return result{code: policy.ConnectFailed, spent: spent}, false
+			r = ended(verdict.Unsent, err)
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
-			return result{code: policy.TimedOut, spent: spent}, false
-		}
-		return result{code: policy.Reset, spent: spent}, false
+		r.spent = spent
+		return r, false
 	}
-	r := u.verdict(c, status, body, framed, bare)
+	r := judged(c, status, body, framed, bare)
 	if r.spent = spent; spent || c.in.unread() {
 		r.latency = max(1, u.clock.now()-written)
 	}
@@ -173,28 +170,21 @@
 		u.download(a, c, req, &r)
 	}
 	reuse := framed && !unsent && !c.in.unread() && c.in.buffered() == 0 && !c.head.has("Connection", "close")
-	c.in.begin()
+	if r.held == nil {
+		c.in.begin()
+	}
 	return r, reuse
 }
 
-// verdict tells what an answer says of its request: served, run and failed, or not run.
-func (u *upstream) verdict(c *upConn, status int, body []byte, framed, bare bool) result {
+// judged is the end of an attempt that a server answered, with the answer where its client may have it.
+func judged(c *upConn, status int, body []byte, framed, bare bool) result {
 	h := &c.head
-	r := result{code: policy.Error, load: serverLoad(h)}
-	_, notRun := h.one(fieldNotRun)
-	_, sealed := h.one(fieldSeal)
-	_, coded := h.one("Content-Encoding")
-	switch {
-	case notRun > 0 || status == 421:
-		r.code = policy.Full
-	case !framed || coded > 0 || status/100 == 2 && sealed != 1:
-		r.code = policy.Reset // its end, or that it is the server's, can't be told
-	case status == 503 || status == 429 || status == 408:
-		// It makes no promise, so that none may be made of it.
-	case status >= 500:
+	count := func(field string) int { _, n := h.one(field); return n }
+	v, pass := verdict.Heard(verdict.Answer{Status: status, NotRun: count(fieldNotRun) > 0, Sealed: count(fieldSeal) == 1,
+		Coded: count("Content-Encoding") > 0, Framed: framed})
+	r := result{Verdict: v, load: serverLoad(h)}
+	if pass {
 		r.answer = passOn(h, status, body, bare, c.in.unread())
-	default:
-		r.code, r.answer = policy.OK, passOn(h, status, body, bare, c.in.unread())
 	}
 	return r
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -59,7 +60,6 @@
 	out      *attempt      // nil: none is out
 	final    *command      // the answer, once the attempt out has ended
 	estate   *passing      // what it is under a system's configuration; nil: it is the platform's
-	last     []byte        // an app server's own answer that was no success
 }
 
 // command is an attempt to carry out, or else the final answer.
@@ -68,9 +68,8 @@
 	refuse     bool
 	bad        int // the status that says the request itself is at fault; 0: it is not
 	retryAfter time.Duration
-	over       bool   // beyond a customer's quota
-	answer     []byte // an app server's own, passed on
-	late       bool   // its time is over
+	over       bool // beyond a customer's quota
+	late       bool // its time is over
 }
 
 // outcome tells the loop how an attempt ended.
@@ -201,22 +200,19 @@
 // end takes in an attempt's end. A whole answer is on its way to the client
 // already.
 func (l *loop) end(o outcome) {
-	c, ev := o.c, policy.Outcome{ID: o.a.id, Attempt: o.a.num, Server: o.a.server, Code: o.code,
+	c, ev := o.c, policy.Outcome{ID: o.a.id, Attempt: o.a.num, Server: o.a.server, Code: o.Code(),
 		Latency: l.clock.now() - o.a.sent, Load: o.load}
 	c.out = nil
 	if o.latency > 0 {
 		ev.Latency = o.latency
 	}
-	if o.answer != nil {
-		c.last = o.answer
-	}
-	if c.ranAt == 0 && !o.code.NeverRan() {
+	if c.ranAt == 0 && !o.Run().Never() {
 		c.ranAt = o.a.sent
 	}
 	switch {
-	case o.code == policy.OK || o.begun || o.fault != nil:
+	case o.End == verdict.Served || o.begun || o.fault != nil:
 		l.forget(c)
-	case o.unfit && c.final == nil:
+	case o.End == verdict.Unfit && c.final == nil:
 		l.answer(c, command{bad: statusBadRequest})
 	case c.final != nil:
 		l.answer(c, *c.final)
@@ -282,7 +278,6 @@
 	l.forget(c)
 	if c.estate != nil {
 		cmd.late = cmd.late || l.clock.now() >= c.due
-		cmd = c.settle(cmd)
 	}
 	c.cmd <- cmd
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/standin"
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -154,7 +155,7 @@
 		t.Errorf("held let go %d, out told %d, called back %v", len(held.cmd), len(out.cmd), out.out.cancelled)
 	}
 	l.send(policy.Send{ID: 2, Server: 1})
-	l.end(outcome{out, out.out, result{code: policy.Error}})
+	l.end(outcome{out, out.out, ended(verdict.Failed, nil)})
 	if cmd := <-out.cmd; cmd.attempt != nil || len(out.cmd) != 0 {
 		t.Errorf("after the attempt: %+v", cmd)
 	}
--- a/internal/node/passing.go
+++ b/internal/node/passing.go
@@ -5,12 +5,12 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"pepperfall.example/pepperfall/internal/plot"
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/policy"
 )
 
@@ -104,12 +104,16 @@
 }
 
 // unready turns a request away that can't be decided about yet.
-func unready(why string) *unusable {
-	return &unusable{503, "Retry-After: " + strconv.FormatFloat(refusedWait.Seconds(), 'f', -1, 64) + "\r\n", why}
+func unready(why string) *verdict.Own { return unsent(503, refusedWait, why) }
+
+// unsent is an answer to what has not been sent on, and won't be.
+func unsent(status int, after time.Duration, why string) *verdict.Own {
+	own := (&verdict.Course{}).Answer(status, after, why)
+	return &own
 }
 
 // read finds what a request is: its route, its tenant, its service, its time.
-func (e *estate) read(r *clientRequest) (*call, *unusable) {
+func (e *estate) read(r *clientRequest) (*call, *verdict.Own) {
 	now := e.clock.now()
 	t := e.tilled.Load()
 	if t == nil || e.shares.Load() == 0 {
@@ -117,12 +121,12 @@
 	}
 	for _, name := range []string{"Host", fieldID, fieldDeadline, fieldKey} {
 		if _, n := r.one(name); n > 1 || n == 0 && name == "Host" {
-			return nil, &unusable{status: 400, text: name + ": missing, or more than once"}
+			return nil, unsent(400, 0, name+": missing, or more than once")
 		}
 	}
 	route := t.plot.Find(string(r.get("Host")), path(r.target))
 	if route == nil {
-		return nil, &unusable{status: 404, text: "no route"}
+		return nil, unsent(404, 0, "no route")
 	}
 	c := &call{arrived: now, cmd: make(chan command, 1), estate: &passing{}}
 	c.Units, c.Spread, c.Prio = 1, int(e.shares.Load()), route.Prio
@@ -133,7 +137,7 @@
 			if !e.isFresh(now) {
 				return nil, unready("control is out of reach")
 			}
-			return nil, &unusable{status: 401, text: "unknown key"}
+			return nil, unsent(401, 0, "unknown key")
 		case tenant != nil && !e.isFresh(now):
 			return nil, unready("control is out of reach")
 		case tenant != nil:
@@ -146,14 +150,14 @@
 	}
 	id := r.get(fieldID)
 	if len(id) == 0 || len(id) > mostName || !visible(id) {
-		return nil, &unusable{status: 400, text: fieldID + ": missing, too long or not plain"}
+		return nil, unsent(400, 0, fieldID+": missing, too long or not plain")
 	}
 	c.name, c.estate.id = string(id), string(id)
 	c.budget = route.Timeout
 	if v, n := r.one(fieldDeadline); n == 1 {
 		ms, digits := decimal(v)
 		if digits == 0 || digits > 9 {
-			return nil, &unusable{status: 400, text: fieldDeadline + ": no whole milliseconds"}
+			return nil, unsent(400, 0, fieldDeadline+": no whole milliseconds")
 		}
 		c.budget = min(c.budget, max(0, time.Duration(ms)*time.Millisecond-clientWay))
 		c.Spent = t.spent(route, int64(ms))
@@ -208,21 +212,6 @@
 	return last
 }
 
-// settle makes the final answer of what the module has given up: a promise where it has not run, else the app
-// server's own answer if there was one.
-func (c *call) settle(cmd command) command {
-	switch {
-	case cmd.bad != 0:
-	case c.ranAt == 0:
-		cmd.refuse = true
-	case c.last != nil:
-		cmd = command{answer: c.last}
-	default:
-		cmd.refuse = false
-	}
-	return cmd
-}
-
 // pass answers a request of the system's wire; it is false when the connection is over.
 func (s *server) pass(cc *clientConn) bool {
 	on := s.served(cc)
@@ -242,8 +231,7 @@
 		if !s.take(cc) {
 			return false
 		}
-		s.counts.own(turned.status)
-		return s.reply(cc, turned.status, turned.fields, turned.text)
+		return s.own(cc, *turned)
 	}
 	if !s.take(cc) {
 		return false
@@ -253,51 +241,73 @@
 	s.counts.open.Add(1)
 	defer s.counts.open.Add(-1)
 	s.events <- c
+	var t trail
+	defer func() { s.up.drop(t.held) }()
 	for {
 		select {
 		case <-s.over:
 			return false
 		case cmd := <-c.cmd:
 			if cmd.attempt == nil {
-				return s.end(cc, cmd)
+				return s.end(cc, cmd, &t)
 			}
 			res := s.up.do(cmd.attempt, r)
+			t.add(s.up, &res)
 			s.events <- outcome{c, cmd.attempt, res}
 			switch {
 			case res.fault != nil:
-				return s.broken(cc, res.fault)
+				return s.broken(cc, res.fault, &t)
 			case res.begun:
 				return res.whole && !c.estate.over
-			case res.code == policy.OK:
+			case res.End == verdict.Served:
 				return s.whole(cc, res.answer)
 			}
 		}
 	}
 }
 
-// end writes the answer to what was not served.
-func (s *server) end(cc *clientConn, cmd command) bool {
+// trail is what is known of a request from its attempts, and the last answer of a server's own that was no success.
+type trail struct {
+	verdict.Course
+	last []byte      // whole
+	held *heldAnswer // or beyond its window
+}
+
+func (t *trail) add(u *upstream, r *result) {
+	t.Add(r.Verdict)
+	if r.answer == nil && r.held == nil && !r.begun {
+		return
+	}
+	u.drop(t.held)
+	t.last, t.held = r.answer, r.held
+}
+
+// end writes the answer to what was not served: a promise where it has not run, else a server's own answer if there
+// was one.
+func (s *server) end(cc *clientConn, cmd command, t *trail) bool {
 	switch {
-	case cmd.answer != nil:
-		return s.whole(cc, cmd.answer)
 	case cmd.bad != 0:
-		return s.reply(cc, cmd.bad, "", "this request can't be used")
-	case !cmd.refuse && cmd.late:
-		s.counts.own(504)
-		return s.reply(cc, 504, "", "too late")
-	case !cmd.refuse:
-		s.counts.own(502)
-		return s.reply(cc, 502, "", "failed")
-	}
-	s.counts.own(503)
-	fields, status := "", 503
-	if cmd.over {
-		status = 429
-	}
-	if cmd.retryAfter > 0 {
-		fields = "Retry-After: " + strconv.FormatFloat(cmd.retryAfter.Seconds(), 'f', 3, 64) + "\r\n"
+		return s.own(cc, t.Answer(cmd.bad, 0, "this request can't be used"))
+	case t.Ran() && t.last != nil:
+		return s.whole(cc, t.last)
+	case t.Ran() && s.up.flows(t.held):
+		var r result
+		s.up.flow(&cc.req.estate.front, t.held, &r)
+		return r.whole && !cc.req.estate.over
 	}
-	return s.reply(cc, status, fields, "refused")
+	return s.own(cc, t.GivenUp(cmd.over, cmd.late, cmd.retryAfter))
+}
+
+// own writes an answer of the system's own.
+func (s *server) own(cc *clientConn, o verdict.Own) bool {
+	s.counts.own(o.Status())
+	return s.reply(cc, o.Status(), o.Fields(), o.Text())
+}
+
+// broken ends a request whose body the client has not sent as it should.
+func (s *server) broken(cc *clientConn, why error, t *trail) bool {
+	status := statusOf(why)
+	return status != 0 && s.own(cc, t.Answer(status, 0, why.Error()))
 }
 
 // whole writes an app server's answer, made by passOn.
--- a/internal/node/pieces_test.go
+++ b/internal/node/pieces_test.go
@@ -74,7 +74,7 @@
 		cc.req.length = -1
 		cc.req.estate = &passing{front: front{s: s, cc: cc}}
 		_, end := u.upload(&attempt{deadline: u.clock.now() + time.Second}, &upConn{Conn: &breaking{left: n}}, &cc.req)
-		assert.Equal(t, end.code, code, "%d bytes written", n)
+		assert.Equal(t, end.Code(), code, "%d bytes written", n)
 		assert.Assert(t, end.spent)
 	}
 }
--- a/internal/node/send_test.go
+++ b/internal/node/send_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -73,13 +74,13 @@
 func TestWindowBeginsWithTheFirstThatMayHaveRun(t *testing.T) {
 	l, c, now := sending(t)
 	c.cmd = make(chan command, 8)
-	l.attemptEnds(c, now-900*time.Millisecond, policy.ConnectFailed)
+	l.attemptEnds(c, now-900*time.Millisecond, verdict.Unsent)
 	if c.ranAt != 0 {
 		t.Fatalf("an attempt that never ran began the window at %v", c.ranAt)
 	}
 	first := now - 800*time.Millisecond
-	l.attemptEnds(c, first, policy.Reset)
-	l.attemptEnds(c, now-300*time.Millisecond, policy.Reset)
+	l.attemptEnds(c, first, verdict.Broken)
+	l.attemptEnds(c, now-300*time.Millisecond, verdict.Broken)
 	if c.ranAt != first {
 		t.Fatalf("the window began %v after the first attempt that may have run", c.ranAt-first)
 	}
@@ -90,8 +91,8 @@
 }
 
 // attemptEnds has the loop take in the end of an attempt asked for at a time.
-func (l *loop) attemptEnds(c *call, sent time.Duration, code policy.Code) {
+func (l *loop) attemptEnds(c *call, sent time.Duration, end verdict.End) {
 	c.out = &attempt{id: c.ID, num: c.attempts, server: 1, sent: sent}
 	c.attempts++
-	l.end(outcome{c: c, a: c.out, result: result{code: code}})
+	l.end(outcome{c: c, a: c.out, result: ended(end, nil)})
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/routing"
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -333,7 +334,8 @@
 		}
 		if err := cc.read(); err != nil {
 			if status := statusOf(err); status != 0 {
-				s.turnAway(cc, status, "", err.Error())
+				o := unsent(status, 0, err.Error())
+				s.turnAway(cc, o.Status(), o.Fields(), o.Text())
 			}
 			return
 		}
@@ -474,7 +476,7 @@
 		}
 		res := s.up.do(cmd.attempt, r)
 		s.events <- outcome{c, cmd.attempt, res}
-		if res.code == policy.OK {
+		if res.End == verdict.Served {
 			cc.bad = 0
 			fields := ""
 			if len(res.contentType) > 0 {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -22,6 +23,8 @@
 	errSpoke  = errors.New("the server has said something before the request was whole")
 	errLate   = errors.New("the time is over")
 	errCalled = errors.New("the attempt was called back")
+	errNoWay  = errors.New("no connection to the server may be made")
+	errGone   = errors.New("the client takes no more")
 )
 
 // front is the client's side of a request, for who carries an attempt out.
@@ -101,7 +104,7 @@
 func (u *upstream) upload(a *attempt, c *upConn, req *clientRequest) (unsent bool, end *result) {
 	f := &req.estate.front
 	if !f.pin(a) {
-		return true, &result{code: policy.ConnectFailed}
+		return true, stopped(verdict.Unsent, errCalled, false)
 	}
 	for {
 		if len(f.pending) == 0 {
@@ -113,11 +116,11 @@
 			case err == errSpoke:
 				return true, nil
 			case err == errCalled:
-				return true, &result{code: policy.ConnectFailed, spent: f.spent()}
+				return true, stopped(verdict.Unsent, err, f.spent())
 			case err == errLate:
-				return true, &result{code: policy.Moot, spent: f.spent()}
+				return true, stopped(verdict.Moot, err, f.spent())
 			case err != nil:
-				return true, &result{code: policy.Moot, fault: err}
+				return true, &result{Verdict: verdict.Of(verdict.Moot, err), fault: err}
 			}
 			req.body = nil // of no use any more
 			f.pending = f.frame(&req.head, p)
@@ -130,13 +133,18 @@
 		case err == errSpoke || world.Peek(c.Conn) == world.PeekBytes:
 			return true, nil
 		case f.ending():
-			return true, &result{code: policy.Reset, spent: true}
+			return true, stopped(verdict.Broken, err, true)
 		default:
-			return true, &result{code: policy.ConnectFailed, spent: true}
+			return true, stopped(verdict.Unsent, err, true)
 		}
 	}
 }
 
+// stopped is the end of an attempt in the middle of its request's body.
+func stopped(end verdict.End, cause error, spent bool) *result {
+	return &result{Verdict: verdict.Of(end, cause), spent: spent}
+}
+
 // next waits for the client's next piece.
 func (u *upstream) next(a *attempt, c *upConn, f *front) ([]byte, error) {
 	stalled := u.clock.now() + f.s.tune.Load().BodyStall
@@ -182,53 +190,67 @@
 	}
 }
 
-// download passes on an answer that is longer than its window, if it is to be passed on at all. One that breaks off
-// never gets its end.
+// heldAnswer is a server's answer beyond its window that waits, there and on its connection, for what comes of the
+// request elsewhere.
+type heldAnswer struct {
+	a     *attempt
+	c     *upConn
+	begin []byte // what its client would get first
+}
+
+// download passes on an answer that is longer than its window, or holds it where another server may do better.
 func (u *upstream) download(a *attempt, c *upConn, req *clientRequest, r *result) {
 	f := &req.estate.front
-	answer := r.answer
+	h := &heldAnswer{a, c, r.answer}
 	r.answer = nil
+	unknown := c.head.length < 0 && strings.HasSuffix(string(req.first), "1.0") // this client would not know its end
 	switch {
-	case answer == nil:
-		return
-	case r.code != policy.OK && f.call.effect == policy.Safe:
-		return // another server may do better
-	case c.head.length < 0 && strings.HasSuffix(string(req.first), "1.0"):
-		r.code, r.spent = policy.Cancelled, true // this client would not know its end
-		return
+	case h.begin == nil:
+	case r.End != verdict.Served && f.call.effect == policy.Safe:
+		if !unknown {
+			r.held = h
+		}
+	case unknown:
+		r.Verdict, r.spent = verdict.Of(verdict.Recalled, errGone), true
 	case !f.pin(a):
-		r.code = policy.Cancelled
-		return
+		r.Verdict = verdict.Of(verdict.Recalled, errCalled)
+	default:
+		u.flow(f, h, r)
 	}
+}
+
+// flow passes an answer on to its end. One that breaks off never gets its end.
+func (u *upstream) flow(f *front, h *heldAnswer, r *result) {
 	r.begun = true
-	answer, req.estate.over = f.s.closing(f.cc, answer)
+	answer, over := f.s.closing(f.cc, h.begin)
+	f.call.estate.over = over
 	for {
-		by := min(u.clock.now()+f.s.tune.Load().ClientWrite, a.deadline)
+		by := min(u.clock.now()+f.s.tune.Load().ClientWrite, h.a.deadline)
 		if len(answer) > 0 && f.write(answer, u.clock.time(by)) != nil {
-			r.code = policy.Cancelled // the client has gone, or reads too slowly
+			r.Verdict = verdict.Of(verdict.Recalled, errGone)
 			return
 		}
-		if !c.in.unread() {
+		if !h.c.in.unread() {
 			r.whole = true
 			return
 		}
-		p, err := c.in.piece()
-		switch {
-		case err != nil && u.clock.now() >= a.deadline:
-			r.code = policy.TimedOut
-			return
-		case err != nil:
-			r.code = policy.Reset
+		p, err := h.c.in.piece()
+		if err != nil {
+			r.Verdict = u.unanswered(h.a, err).Verdict
 			return
 		}
-		answer = f.frame(&c.head, p)
+		answer = f.frame(&h.c.head, p)
 	}
 }
 
-// broken ends a request whose body the client has not sent as it should: it has not run.
-func (s *server) broken(cc *clientConn, why error) bool {
-	if status := statusOf(why); status != 0 {
-		return s.reply(cc, status, "", why.Error())
+// flows tells whether a held answer can still be passed on.
+func (u *upstream) flows(h *heldAnswer) bool {
+	return h != nil && u.clock.now() < h.a.deadline && (h.c.in.buffered() > 0 || world.Peek(h.c.Conn) != world.PeekEnd)
+}
+
+// drop lets go of a held answer; nil: there is none.
+func (u *upstream) drop(h *heldAnswer) {
+	if h != nil {
+		u.discard(h.c)
 	}
-	return false
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -131,9 +132,8 @@
 
 // result is how an attempt ended.
 type result struct {
-	code        policy.Code
+	verdict.Verdict
 	load        []float64
-	unfit       bool   // the app server says that the request is at fault
 	contentType string // of a served answer
 	body        string
 	answer      []byte // on a system's wire: the app server's own, as it is passed on
@@ -142,12 +142,24 @@
 	fault   error         // of the client's, in the middle of its body: nothing has run
 	spent   bool          // part of the request is held no more: it can't be sent again
 	begun   bool          // the answer was passed on as it came
+	held    *heldAnswer   // nil: no answer is kept at its server
 	whole   bool          // and has come to its end
 	latency time.Duration // without the time that the client took; 0: as the module counts
 }
 
+// ended is an attempt's end and no more.
+func ended(end verdict.End, cause error) result { return result{Verdict: verdict.Of(end, cause)} }
+
+// unanswered is the end of an attempt that was written whole and met an error in place of its answer.
+func (u *upstream) unanswered(a *attempt, err error) result {
+	if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
+		return ended(verdict.Silent, err)
+	}
+	return ended(verdict.Broken, err)
+}
+
 // do carries an attempt out. The connection of one that did not come to its end
-// is closed before do returns.
+// is closed before do returns, but for that of an answer held.
 func (u *upstream) do(a *attempt, req *clientRequest) result {
 	c, addr, ok := u.take(a.server, a.once)
 	for ok && c != nil && u.trial(a, c) && !u.stands(a, c, req) {
@@ -155,14 +167,14 @@
 		c, addr, ok = u.take(a.server, a.once)
 	}
 	if !ok {
-		return result{code: policy.ConnectFailed}
+		return ended(verdict.Unsent, errNoWay)
 	}
 	if c == nil {
 		began := u.clock.now()
 		conn, err := u.connect(a, addr)
 		if err != nil {
 			u.discard(nil)
-			return result{code: policy.ConnectFailed}
+			return ended(verdict.Unsent, err)
 		}
 		c = &upConn{Conn: conn, up: u}
 		c.in.src = c
@@ -175,10 +187,10 @@
 	switch {
 	case now >= a.deadline:
 		u.discard(c)
-		return result{code: policy.Moot}
+		return ended(verdict.Moot, errLate)
 	case !a.hold(c) || now >= a.writeBy || u.closed(a.server):
 		u.discard(c)
-		return result{code: policy.ConnectFailed}
+		return ended(verdict.Unsent, errCalled)
 	}
 	var r result
 	var reuse bool
@@ -189,18 +201,21 @@
 	}
 	if c.used > 0 {
 		u.mu.Lock()
-		u.ages.note(now-c.used, u.clock.now(), u.clock.now()-now-c.reach, r.code, len(c.in.buf) > 0)
+		u.ages.note(now-c.used, u.clock.now(), u.clock.now()-now-c.reach, r.Code(), len(c.in.buf) > 0)
 		u.mu.Unlock()
 	}
 	if !a.hold(nil) { // cancelled: its connection is closed already
 		reuse = false
-		if r.code == policy.Reset || r.code == policy.TimedOut {
-			r.code = policy.Cancelled
+		if r.End == verdict.Broken || r.End == verdict.Silent {
+			r.Verdict = verdict.Of(verdict.Recalled, errCalled)
 		}
+		r.held = nil
 	}
-	if reuse {
+	switch {
+	case r.held != nil: // it is let go of by who passes the answer on
+	case reuse:
 		u.keep(a.server, c)
-	} else {
+	default:
 		u.discard(c)
 	}
 	return r
@@ -223,8 +238,8 @@
 // bytes written decides: before the last one the request can't have run, after
 // it may have.
 func (u *upstream) exchange(a *attempt, c *upConn, req *clientRequest, left time.Duration) (result, bool) {
-	if c.SetDeadline(u.clock.time(a.deadline)) != nil {
-		return result{code: policy.ConnectFailed}, false
+	if err := c.SetDeadline(u.clock.time(a.deadline)); err != nil {
+		return ended(verdict.Unsent, err), false
 	}
 	msg := buffers.Get().(*[]byte)
 	b := appendRequest((*msg)[:0], req, left)
@@ -234,7 +249,7 @@
 		buffers.Put(msg)
 	}
 	if !whole {
-		return result{code: policy.ConnectFailed}, false
+		return ended(verdict.Unsent, err), false
 	}
 	var r result
 	status, body, framed := 0, []byte(nil), false
@@ -242,21 +257,18 @@
 		status, body, framed, err = c.answer(string(req.method) == "HEAD", false)
 	}
 	if err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
-			return result{code: policy.TimedOut}, false
-		}
-		return result{code: policy.Reset}, false
+		return u.unanswered(a, err), false
 	}
-	r.code, r.load = policy.Error, u.load(&c.head)
+	r.Verdict, r.load = verdict.Of(verdict.Failed, nil), u.load(&c.head)
 	switch {
 	case status == 200 && !framed:
-		r.code = policy.Reset // its end can't be told from a break
+		r.Verdict = verdict.Of(verdict.Broken, errFraming) // its end can't be told from a break
 	case status == 200:
-		r.code, r.contentType, r.body = policy.OK, string(c.head.get("Content-Type")), string(body)
+		r.Verdict, r.contentType, r.body = verdict.Of(verdict.Served, nil), string(c.head.get("Content-Type")), string(body)
 	case (status == 503 || status == 504) && string(c.head.get("X-Not-Run")) == "1":
-		r.code = policy.Full
+		r.Verdict = verdict.Of(verdict.Declined, nil)
 	case status/100 == 4:
-		r.code, r.unfit = policy.Moot, true
+		r.Verdict = verdict.Of(verdict.Unfit, nil)
 	}
 	// What comes behind an answer belongs to none.
 	reuse := framed && c.in.buffered() == 0 && !c.head.has("Connection", "close")
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -104,8 +104,8 @@
 			u := pool(a.Addr())
 			_, do := u.try(time.Minute)
 			r, body := do()
-			if r.code != c.want || r.code == policy.OK && body != "hits" {
-				t.Errorf("code %d, body %q, want code %d", r.code, body, c.want)
+			if r.Code() != c.want || r.Code() == policy.OK && body != "hits" {
+				t.Errorf("code %d, body %q, want code %d", r.Code(), body, c.want)
 			}
 			if kept := len(u.servers[1].idle) == 1; kept != c.kept || u.open != len(u.servers[1].idle) {
 				t.Errorf("connection kept %v, want %v; %d counted as open", kept, c.kept, u.open)
@@ -121,8 +121,8 @@
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	u := pool(refusing(t))
 	_, do := u.try(patience)
-	if r, _ := do(); r.code != policy.ConnectFailed || u.open != 0 {
-		t.Errorf("code %d, %d open", r.code, u.open)
+	if r, _ := do(); r.Code() != policy.ConnectFailed || u.open != 0 {
+		t.Errorf("code %d, %d open", r.Code(), u.open)
 	}
 }
 
@@ -133,8 +133,8 @@
 	u := pool(a.Addr())
 	_, do := u.try(50 * time.Millisecond)
 	r, _ := do()
-	if r.code != policy.TimedOut || u.open != 0 {
-		t.Errorf("code %d, %d open", r.code, u.open)
+	if r.Code() != policy.TimedOut || u.open != 0 {
+		t.Errorf("code %d, %d open", r.Code(), u.open)
 	}
 	eventually(t, "the end of the connection", func() bool { return a.Ended.Load() == 1 })
 }
@@ -151,8 +151,8 @@
 		at.cancel()
 	}()
 	r, _ := do()
-	if r.code != policy.Cancelled || u.open != 0 {
-		t.Errorf("code %d, %d open", r.code, u.open)
+	if r.Code() != policy.Cancelled || u.open != 0 {
+		t.Errorf("code %d, %d open", r.Code(), u.open)
 	}
 	eventually(t, "the end of the connection", func() bool { return a.Ended.Load() == 1 })
 }
@@ -163,8 +163,8 @@
 	u := pool(a.Addr())
 	at, do := u.try(time.Hour)
 	at.cancel()
-	if r, _ := do(); !r.code.NeverRan() || a.Seen.Load() != 0 {
-		t.Errorf("code %d after %d requests", r.code, a.Seen.Load())
+	if r, _ := do(); !r.Code().NeverRan() || a.Seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.Code(), a.Seen.Load())
 	}
 }
 
@@ -185,8 +185,8 @@
 		return len(u.servers[1].idle) == 1 && !alive(u.servers[1].idle[0])
 	})
 	_, do = u.try(patience)
-	if r, _ := do(); r.code != policy.OK || a.Accepted.Load() != 2 {
-		t.Errorf("code %d, %d connections", r.code, a.Accepted.Load())
+	if r, _ := do(); r.Code() != policy.OK || a.Accepted.Load() != 2 {
+		t.Errorf("code %d, %d connections", r.Code(), a.Accepted.Load())
 	}
 }
 
@@ -221,8 +221,8 @@
 	u.rest = time.Hour
 	for i := range 2 {
 		_, do := u.try(patience)
-		if r, body := do(); r.code != policy.OK || body != "hits" || int(a.Accepted.Load()) != i+1 {
-			t.Errorf("code %d, %q, %d connections: an idle one did not rest", r.code, body, a.Accepted.Load())
+		if r, body := do(); r.Code() != policy.OK || body != "hits" || int(a.Accepted.Load()) != i+1 {
+			t.Errorf("code %d, %q, %d connections: an idle one did not rest", r.Code(), body, a.Accepted.Load())
 		}
 	}
 	close(copied)
@@ -306,14 +306,14 @@
 	a := newApp(t, standin.Answer("200 OK", "", "hits"))
 	u := pool(a.Addr())
 	at, do := u.try(time.Second)
-	if r, _ := do(); r.code != policy.OK {
-		t.Fatalf("code %d", r.code)
+	if r, _ := do(); r.Code() != policy.OK {
+		t.Fatalf("code %d", r.Code())
 	}
 	eventually(t, "the deadline", func() bool { return u.clock.now() > at.deadline })
 	u.sweep()
 	_, do = u.try(patience)
-	if r, _ := do(); r.code != policy.OK || a.Accepted.Load() != 1 {
-		t.Errorf("code %d, %d connections", r.code, a.Accepted.Load())
+	if r, _ := do(); r.Code() != policy.OK || a.Accepted.Load() != 1 {
+		t.Errorf("code %d, %d connections", r.Code(), a.Accepted.Load())
 	}
 }
 
@@ -330,8 +330,8 @@
 	}
 	u.servers[1].since -= u.grace
 	_, do := u.try(patience)
-	if r, _ := do(); r.code != policy.ConnectFailed || a.Seen.Load() != 0 {
-		t.Errorf("code %d after %d requests", r.code, a.Seen.Load())
+	if r, _ := do(); r.Code() != policy.ConnectFailed || a.Seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.Code(), a.Seen.Load())
 	}
 }
 
@@ -364,8 +364,8 @@
 	u := pool(a.Addr())
 	at, do := u.try(patience)
 	at.writeBy = at.sent
-	if r, _ := do(); r.code != policy.ConnectFailed || a.Seen.Load() != 0 {
-		t.Errorf("code %d after %d requests", r.code, a.Seen.Load())
+	if r, _ := do(); r.Code() != policy.ConnectFailed || a.Seen.Load() != 0 {
+		t.Errorf("code %d after %d requests", r.Code(), a.Seen.Load())
 	}
 }
 
@@ -383,8 +383,8 @@
 	go func() { r, _ := do(); done <- r }()
 	eventually(t, "the request at the second server", func() bool { return b.Seen.Load() == 1 })
 	_, do = u.try(patience)
-	if r, _ := do(); r.code != policy.ConnectFailed {
-		t.Errorf("code %d over the bound", r.code)
+	if r, _ := do(); r.Code() != policy.ConnectFailed {
+		t.Errorf("code %d over the bound", r.Code())
 	}
 	at.cancel()
 	<-done
