Guard the first start, late acknowledgements and settings cut short by tests

Change: TestFirstStartWaitsForSeeds, TestLateIsNotAcknowledged (a barn whose clock runs on while it stands still) and more of TestFollow. No code of the system changed.

--- a/internal/barn/guard_test.go
+++ b/internal/barn/guard_test.go
@@ -219,3 +219,60 @@
 		})
 	}
 }
+
+// At the first start nobody vouches before all seeds were heard, or, where one does not come, a majority for a while; one
+// that is alone never does.
+func TestFirstStartWaitsForSeeds(t *testing.T) {
+	for _, n := range []int{3, 4} {
+		for _, comes := range []bool{true, false} {
+			play(t, n, func(f *farm) {
+				f.endAll(false)
+				for _, d := range f.disks {
+					d.Wipe()
+				}
+				f.first = true
+				f.cut(ips(2), ips(0, 1, 3), sim.Silent)
+				f.startAll()
+				for began := time.Now(); time.Since(began) < seedsWithin-100*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+					assert.Equal(t, f.vouching(), 0, "%v after the start", time.Since(began))
+				}
+				if comes {
+					f.cut(ips(2), ips(0, 1, 3), sim.Open)
+				}
+				f.until(2*time.Second, "vouch", func() bool { return f.vouching() >= n-1 })
+				time.Sleep(4 * time.Second)
+				assert.Equal(t, f.runs[2].vouching(), comes)
+				f.acknowledged(0, body(2, "a"))
+				f.runs[0].mu.Lock()
+				_, voters := f.runs[0].voters()
+				f.runs[0].mu.Unlock()
+				assert.Equal(t, voters, map[bool]int{true: n, false: max(3, n-1)}[comes])
+				if !comes { // nobody forgets it
+					assert.ErrorIs(t, f.replace(2, body(3, "b")), ErrUnsettled)
+				}
+			})
+		}
+	}
+}
+
+// A barn that stood still while an order was under way does not acknowledge it: a voter that answered may have lost its
+// disk since, and vouch again.
+func TestLateIsNotAcknowledged(t *testing.T) {
+	play(t, 3, func(f *farm) {
+		f.acknowledged(0, body(2, "a"))
+		for i := 1; i < 3; i++ {
+			f.disks[i].Hang()
+		}
+		order := make(chan error, 2)
+		go func() { order <- f.replace(0, body(3, "a")) }()
+		go func() { order <- f.runs[0].Drain(context.Background(), "z0", true) }()
+		time.Sleep(200 * time.Millisecond)
+		f.jump[0].by.Store(int64(callWithin))
+		for i := 1; i < 3; i++ {
+			f.disks[i].Release()
+		}
+		assert.ErrorIs(t, <-order, ErrUnsettled)
+		assert.ErrorIs(t, <-order, ErrUnsettled)
+		f.acknowledged(0, body(3, "a"))
+	})
+}
--- a/internal/barn/rig_test.go
+++ b/internal/barn/rig_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,8 +27,17 @@
 	runs  []*running // nil: it is down
 	first bool       // the settings say bootstrap
 	cloud string
+	jump  map[int]*jumping // clocks, by barn
 }
 
+// jumping is a host whose process stands still while its clock runs on: no timer of its runs out for that.
+type jumping struct {
+	*sim.Host
+	by atomic.Int64
+}
+
+func (j *jumping) Now() time.Time { return j.Host.Now().Add(time.Duration(j.by.Load())) }
+
 type running struct {
 	*Barn
 	host *sim.Host
@@ -45,7 +55,7 @@
 func platformed(t *testing.T, n int, platform http.Handler, story func(f *farm)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &farm{t: t, net: sim.New(uint64(n)), first: true}
+		f := &farm{t: t, net: sim.New(uint64(n)), first: true, jump: map[int]*jumping{}}
 		f.net.Set(sim.Faults{Least: time.Millisecond, Most: 20 * time.Millisecond})
 		for i := range n {
 			f.disks = append(f.disks, sim.NewDisk(uint64(i)))
@@ -100,7 +110,8 @@
 func (f *farm) start(i int) {
 	host := f.net.Host(ip(i))
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{Barn: New(f.settings(i), host, f.disks[i].Mount(), logr.Discard()), host: host, stop: stop, done: make(chan error, 1)}
+	f.jump[i] = &jumping{Host: host}
+	r := &running{Barn: New(f.settings(i), f.jump[i], f.disks[i].Mount(), logr.Discard()), host: host, stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- r.Run(ctx) }()
 	f.mu.Lock()
 	f.runs[i] = r
--- a/internal/yoke/follow_test.go
+++ b/internal/yoke/follow_test.go
@@ -106,6 +106,18 @@
 		taken, _ = f.after(150 * time.Millisecond)
 		assert.Assert(t, len(taken) == 1 && taken[0].Terms.Bounds.Revoke == 3*time.Second)
 
+		// An empty one, as it is between an opening and the writing, or one cut short that stays so: the last good one
+		// holds, for whoever reads it next too, and the whole text is taken.
+		for i, part := range []string{"", settings[:len(settings)/3], "terms.bounds.revoke_ms=7000\n"} {
+			f.write(part)
+			f.told <- struct{}{}
+			taken, log = f.after(10 * time.Second)
+			assert.Assert(t, len(taken) == 0 && strings.Count(log, "not taken over") == 1 && strings.Contains(log, "network.seeds: missing"), log)
+			f.write(strings.Replace(settings, "5000", []string{"2600", "2700", "2800"}[i], 1))
+			taken, _ = f.after(5 * time.Second)
+			assert.Assert(t, len(taken) == 1 && taken[0].Terms.Bounds.Revoke == time.Duration(26+i)*100*time.Millisecond)
+		}
+
 		// One that is gone for a while.
 		assert.NilError(t, os.Remove(f.path))
 		taken, log = f.after(10 * time.Second)
