Take a staged push back when gates' answers get worse

Cause: a push looked at control and at which gates are ready only; that a stage's answers were worse stayed with a person, though gates tell of their answers since swaps need them.

Change: before the first stage the client waits up to 3 s for gates to tell; from then on the part of answers refused or failed may rise by a bound above what it was, less twice the deviation of the count. Beyond that the old content goes out under the next number.

Seen: 4% failed to 10% of 1,500 answers goes back, one failed answer of one does not.

--- a/cmd/almanac/config.go
+++ b/cmd/almanac/config.go
@@ -30,7 +30,9 @@
 		{Name: "push", Usage: "bring a file as the next version; without --yes only say what would be done", ArgsUsage: "FILE", Action: a.configPush,
 			Flags: []cli.Flag{yes(),
 				&cli.StringFlag{Name: "stage", Usage: "parts in percent, such as 5,25: versions of their own before the whole"},
-				&cli.DurationFlag{Name: "settle", Value: 10 * time.Second, Usage: "how long a stage is looked at"}}},
+				&cli.DurationFlag{Name: "settle", Value: 10 * time.Second, Usage: "how long a stage is looked at"},
+				&cli.Float64Flag{Name: "refused", Value: 0.05, Usage: "part of all answers by which those with 429 or 503 may rise"},
+				&cli.Float64Flag{Name: "failed", Value: 0.02, Usage: "part of all answers by which those with another 5xx may rise"}}},
 		{Name: "show", Usage: "the version that control holds, as it was sent (with its keys)", Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "summary", Usage: "services, tenants and prints of keys instead"}}, Action: a.configShow},
 		{Name: "history", Usage: "orders that the barns were given", Flags: []cli.Flag{asJSON()}, Action: a.configHistory},
@@ -140,8 +142,9 @@
 		return err
 	}
 	defer drop()
-	before := client.Look(ctx)
-	if err := client.Push(ctx, p, c.Duration("settle"), almanac.Steady(before), func(s string) { fmt.Fprintln(a.out, s) }); err != nil {
+	tell := func(s string) { fmt.Fprintln(a.out, s) }
+	check := almanac.Well(client.Told(ctx), almanac.Bound{Refused: c.Float64("refused"), Failed: c.Float64("failed")}, tell)
+	if err := client.Push(ctx, p, c.Duration("settle"), check, tell); err != nil {
 		return err
 	}
 	fmt.Fprintf(a.out, "r%d is in force at all gates that are ready\n", last)
--- a/internal/almanac/farm_test.go
+++ b/internal/almanac/farm_test.go
@@ -35,6 +35,7 @@
 	gates  map[int]func()
 	client *almanac.Client
 	first  bool
+	told   func(gen uint64) *furrow.Figures // what gates tell of their answers; nil: nothing
 	later  sync.WaitGroup
 }
 
@@ -120,7 +121,11 @@
 				all.Go(func() {
 					for world.Sleep(ctx, host, 200*time.Millisecond) {
 						mu.Lock()
-						_ = c.Send(&furrow.Frame{Ping: &furrow.Ping{Ready: true, Gen: gen}})
+						p := &furrow.Ping{Ready: true, Gen: gen}
+						if f.told != nil {
+							p.Figures = f.told(gen)
+						}
+						_ = c.Send(&furrow.Frame{Ping: p})
 						mu.Unlock()
 					}
 				})
--- a/internal/almanac/push.go
+++ b/internal/almanac/push.go
@@ -16,6 +16,7 @@
 const (
 	lookEvery   = 500 * time.Millisecond
 	arriveFor   = 10 * time.Second // a version to be in force at all gates that are ready
+	tellFor     = 3 * time.Second  // gates to begin telling of their answers
 	mostLagging = 0                // gates that may be behind after that
 )
 
@@ -195,6 +196,17 @@
 	}
 }
 
+// Told is a look by which gates tell of their answers: they begin to at a first one, and what they tell next counts
+// the last seconds. Where some stay silent about that, it is the last of several.
+func (c *Client) Told(ctx context.Context) *View {
+	for began := c.w.Now(); ; {
+		v := c.Look(ctx)
+		if _, known := AnswersOf(v); known || c.w.Now().Sub(began) > tellFor || !world.Sleep(ctx, c.w, lookEvery) {
+			return v
+		}
+	}
+}
+
 // Behind names the gates that are ready and have an older version.
 func Behind(v *View, gen uint64) (names []string) {
 	for _, g := range v.Gates {
--- a/internal/almanac/push_test.go
+++ b/internal/almanac/push_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"pepperfall.example/pepperfall/internal/almanac"
+	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/plot"
 	"pepperfall.example/pepperfall/internal/world"
 )
@@ -47,6 +48,39 @@
 	})
 }
 
+// Answers that get worse at a stage take it back; what few requests do by luck does not, nor what was bad before.
+func TestStagesByAnswers(t *testing.T) {
+	for _, c := range []struct {
+		served, refused, failed uint32 // from the stage on
+		says                    string
+	}{
+		{460, 20, 20, ""},
+		{430, 20, 50, "gone back by r5 with the old content, because answers got worse: 10.0% of 1500 answers are failed, 4.0% were before"},
+		{400, 80, 20, "answers got worse: 16.0% of 1500 answers are refused, 4.0% were before"},
+		{0, 0, 1, ""},
+	} {
+		play(t, func(f *farm) {
+			f.told = func(gen uint64) *furrow.Figures {
+				if gen > 3 {
+					return &furrow.Figures{Span: 4 * time.Second, Served: c.served, Refused: c.refused, Failed: c.failed}
+				}
+				return &furrow.Figures{Span: 4 * time.Second, Served: 460, Refused: 20, Failed: 20}
+			}
+			ctx := context.Background()
+			next := strings.Replace(config, `"weight":90`, `"weight":0`, 1)
+			p, err := f.client.Plan(ctx, []byte(next), []float64{0.5})
+			assert.NilError(t, err)
+			check := almanac.Well(f.client.Told(ctx), almanac.Bound{Refused: 0.05, Failed: 0.02}, func(s string) { t.Error(s) })
+			err = f.client.Push(ctx, p, 2*time.Second, check, func(string) {})
+			if c.says == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, c.says)
+		})
+	}
+}
+
 // What no majority takes is unclear, what nobody takes is not; a minority's view says so.
 func TestOrdersWithoutAMajority(t *testing.T) {
 	play(t, func(f *farm) {
