Say before a push which requests of the last minute would go elsewhere

Cause: a dry run told a change by route only; how much traffic it concerns was for the operator to guess, as control sees no requests.

Change: a gate counts requests by route in the place where it draws a service (one atomic add), keeps marks of a minute every 5 s, and tells them to its hand; the hand passes them to barns that ask, which they do for 10 s after GET /-/Asked. The client joins them with the change: parts that move, paths that lose their route, and says what counts by route can't tell. The form of a connection's first frame grows, pings stay as they are while nobody asks.

Seen: counts at 6 gates within 15% of what clients sent.

--- a/api/operators.go
+++ b/api/operators.go
@@ -8,6 +8,7 @@
 	OpsStatus  = "/-/Status"
 	OpsHistory = "/-/History"
 	OpsLog     = "/-/Log"
+	OpsAsked   = "/-/Asked"
 	LogFrom    = "from"
 )
 
@@ -216,3 +217,20 @@
 	At   time.Time `json:"at"`
 	Text string    `json:"text"`
 }
+
+// Asked is what gates were asked for in the last minute, all together.
+type Asked struct {
+	Barn   string       `json:"barn"`
+	Gen    string       `json:"gen"`     // the version by whose routes is counted; empty: none
+	Ready  int          `json:"ready"`   // gates that take clients
+	Gates  int          `json:"gates"`   // such that tell, and serve by that version
+	SpanMS int64        `json:"span_ms"` // over which all of these counted, at least
+	Routes []RouteAsked `json:"routes"`  // by place; those without requests left out
+	Rest   uint64       `json:"rest"`    // requests of routes that are left out
+}
+
+// RouteAsked is how many requests a route had.
+type RouteAsked struct {
+	Route    int    `json:"route"` // its place in the configuration, from 0
+	Requests uint64 `json:"requests"`
+}
--- a/cmd/almanac/config.go
+++ b/cmd/almanac/config.go
@@ -78,9 +78,16 @@
 		return err
 	}
 	a.plan(p)
+	a.elsewhere(ctx, client, p)
 	return nil
 }
 
+func (a *app) elsewhere(ctx context.Context, client *almanac.Client, p *almanac.Plan) {
+	for _, l := range client.Elsewhere(ctx, p) {
+		fmt.Fprintln(a.out, l)
+	}
+}
+
 func (a *app) plan(p *almanac.Plan) {
 	fmt.Fprintf(a.out, "held: r%d\n", p.Held)
 	for _, l := range p.Diff {
@@ -134,6 +141,7 @@
 		fmt.Fprintf(a.out, "to send: r%d, %g%% of %s\n", s.Gen, s.Part*100, map[bool]string{true: "all", false: fmt.Sprintf("%d routes that change their services", s.Routes)}[s.Part >= 1])
 	}
 	if !c.Bool("yes") {
+		a.elsewhere(ctx, client, p)
 		fmt.Fprintln(a.out, "nothing was sent: give --yes to do it")
 		return nil
 	}
--- /dev/null
+++ b/internal/almanac/elsewhere_test.go
@@ -0,0 +1,54 @@
+package almanac_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/api"
+	"pepperfall.example/pepperfall/internal/almanac"
+	"pepperfall.example/pepperfall/internal/plot"
+)
+
+func TestElsewhere(t *testing.T) {
+	body := func(routes string) *plot.Plot {
+		p, err := plot.Parse([]byte(`{"gen":"r3","routes":[` + routes + `],"backends":[{"name":"old"},{"name":"new"}]}`))
+		assert.NilError(t, err)
+		return p
+	}
+	route := func(name, prefix, to string) string {
+		return `{"name":"` + name + `","host":"h","prefix":"` + prefix + `","kind":"mutating","timeout_ms":10,` + to + `}`
+	}
+	const toOld, toNew, fifth = `"backend":"old"`, `"backend":"new"`, `"split":[{"backend":"old","weight":4},{"backend":"new","weight":1}]`
+	was := body(route("a", "/a/", toOld) + "," + route("b", "/a/b/", toOld) + "," + route("c", "/c/", toOld))
+	asked := &api.Asked{Gen: "r3", Ready: 4, Gates: 3, SpanMS: 60500, Routes: []api.RouteAsked{{Route: 0, Requests: 100}, {Route: 1, Requests: 50}, {Route: 2, Requests: 30}}, Rest: 20}
+	assert.DeepEqual(t, almanac.Elsewhere(was, body(route("a", "/a/", fifth)+","+route("d", "/a/d/", toNew)), asked), []string{
+		"of 200 requests in the last 60 s at 3 of 4 gates about 60 would go elsewhere; 20 of routes that are told no more are taken to stay",
+		"route h/a/: 20% more to new, those below /a/d/ by a route of their own, how many is not known, of 100 requests",
+		"route h/a/b/: 20% more to new, by the route /a/, of 50 requests",
+		"route h/c/: all would find no route (404), of 30 requests",
+	})
+	assert.Equal(t, len(almanac.Elsewhere(was, was, asked)), 1)
+	asked.Gen = "r2"
+	assert.Assert(t, strings.Contains(almanac.Elsewhere(was, was, asked)[0], "counted by r2"))
+	assert.Assert(t, strings.Contains(almanac.Elsewhere(was, was, nil)[0], "not known"))
+}
+
+// What gates tell of the last minute is what clients sent to them.
+func TestAskedOfGates(t *testing.T) {
+	served(t, 15, func(s *swap) {
+		ctx := context.Background()
+		assert.Assert(t, s.Client.Asked(ctx) != nil)
+		began := time.Now()
+		s.Pass(24 * time.Second)
+		a := s.Client.Asked(ctx)
+		assert.Assert(t, a.Gen == "r1" && a.Gates == 6 && a.Ready == 6 && a.SpanMS >= 20000 && a.SpanMS < 36000 && len(a.Routes) == 2, "%+v", a)
+		_, owed := s.Book.Served(began, time.Now())
+		sent := float64(owed) * float64(a.SpanMS) / float64(time.Since(began).Milliseconds())
+		told := float64(a.Routes[0].Requests + a.Routes[1].Requests)
+		assert.Assert(t, told > 0.85*sent && told < 1.15*sent, "%v told, %v sent", told, sent)
+	})
+}
--- a/internal/almanac/push.go
+++ b/internal/almanac/push.go
@@ -43,6 +43,16 @@
 	Old    []byte // and its body
 	Stages []Stage
 	Diff   []string
+
+	old, next *plot.Plot
+}
+
+// Elsewhere says which requests of the last minute would go elsewhere; it asks the barns for these.
+func (c *Client) Elsewhere(ctx context.Context, p *Plan) []string {
+	if p.old == nil {
+		return nil
+	}
+	return Elsewhere(p.old, p.next, c.Asked(ctx))
 }
 
 // Stage is one version of a push.
@@ -75,7 +85,7 @@
 		}
 		p.Held = was.Gen
 	}
-	p.Diff = Diff(was, next)
+	p.Diff, p.old, p.next = Diff(was, next), was, next
 	gen := p.Held
 	for _, part := range parts {
 		if part >= 1 {
--- a/internal/barn/census.go
+++ b/internal/barn/census.go
@@ -33,6 +33,8 @@
 	rests     bool // it would be ready, but for the order to rest
 	figures   *furrow.Figures
 	figuresAt time.Duration
+	asked     *furrow.Asked
+	askedAt   time.Duration
 }
 
 func (g *gate) alive(now time.Duration) bool { return g.up && now-g.heard < furrow.Patience(g.every) }
--- a/internal/barn/hands.go
+++ b/internal/barn/hands.go
@@ -125,10 +125,13 @@
 		if p.Figures != nil {
 			g.figures, g.figuresAt = p.Figures, now
 		}
+		if p.Asked != nil {
+			g.asked, g.askedAt = p.Asked, now
+		}
 		h.held, h.sum = p.Held, p.Sum
 		b.pay(h, p.Lead)
 		// Word is fresh where the newest is in force: it may still be on its way there.
-		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot), Want: now < b.ops.wants}
+		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot), Want: now < b.ops.wants, Asks: now < b.ops.asks}
 		if b.ever {
 			pong.Age = now - b.fresh
 		}
--- a/internal/barn/operators.go
+++ b/internal/barn/operators.go
@@ -35,6 +35,7 @@
 	note   func(api.Order) // writes one down; nil: nobody does
 	lease  lease
 	wants  time.Duration // until when figures of gates are wanted
+	asks   time.Duration // and what they were asked for
 }
 
 var errBusy = errors.New("too many operators look at once")
@@ -72,6 +73,7 @@
 	}
 	add(api.OpsStatus, func(r *http.Request) (any, error) { return b.Status(r.Context()), nil })
 	add(api.OpsHistory, func(*http.Request) (any, error) { return b.History(), nil })
+	add(api.OpsAsked, func(*http.Request) (any, error) { return b.Asked(), nil })
 	add(api.OpsLog, func(r *http.Request) (any, error) {
 		from := uint64(0)
 		if text := r.URL.Query().Get(api.LogFrom); text != "" {
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -66,6 +66,7 @@
 	Every   time.Duration // hand to barn: the next Ping comes after so long; 0: as is usual
 	Rests   bool          // the gate would be ready, but for the order to rest
 	Figures *Figures      // gate to hand, and to a barn that wants them
+	Asked   *Asked        // the same, every few seconds; nil: as told last
 }
 
 // Pong answers a Ping. What it tells holds at the moment it was sent, which is
@@ -75,6 +76,7 @@
 	Age   time.Duration // how long ago, before this Pong was sent, a majority of the core was asked that confirmed what is held
 	Fresh bool          // whether one ever did
 	Want  bool          // figures are wanted in the next Pings
+	Asks  bool          // and what was Asked
 }
 
 // Change is numbered news. Numbers rise by one on each connection; parts that
--- a/internal/furrow/node.go
+++ b/internal/furrow/node.go
@@ -47,6 +47,20 @@
 	Failed  uint32        // other 5xx
 }
 
+// Asked is a gate's requests of the last minute by route, to those who want to know.
+type Asked struct {
+	Gen    uint64 // of the configuration that they came in by
+	Span   time.Duration
+	Routes []RouteAsked // those without requests left out
+	Rest   uint32       // requests of routes that are left out as well
+}
+
+// RouteAsked is how many requests a route had.
+type RouteAsked struct {
+	Route    uint32 // its place among the configuration's, from 0
+	Requests uint32
+}
+
 // Lock keeps two who change things from crossing. A barn grants it to one token at a time, and forgets it by itself.
 type Lock struct {
 	Token string
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,8 +21,9 @@
 )
 
 const (
-	beat     = 250 * time.Millisecond // between two pings to the hand
-	lastWord = 200 * time.Millisecond // for what is to be told at the end
+	beat       = 250 * time.Millisecond // between two pings to the hand
+	askedBeats = 20                     // such pings between two that tell what was asked for
+	lastWord   = 200 * time.Millisecond // for what is to be told at the end
 )
 
 // Gate is a proxy.
@@ -142,14 +143,35 @@
 	}
 }
 
-func (g *Gate) beat(c *furrow.Conn) error {
+func (g *Gate) beat(c *furrow.Conn) error { return c.Send(&furrow.Frame{Ping: g.tells()}) }
+
+func (g *Gate) tells() *furrow.Ping {
 	f := g.estate.Figures()
-	return c.Send(&furrow.Frame{Ping: &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(),
-		Figures: (*furrow.Figures)(&f)}})
+	return &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(), Figures: (*furrow.Figures)(&f)}
+}
+
+// asked tells the hand what was asked for lately, by route.
+func (g *Gate) asked() *furrow.Asked {
+	a := g.estate.Asked()
+	if a == nil {
+		return nil
+	}
+	out := &furrow.Asked{Gen: a.Gen, Span: a.Span, Rest: a.Rest}
+	for _, r := range a.Routes {
+		out.Routes = append(out.Routes, furrow.RouteAsked(r))
+	}
+	return out
 }
 
 func (g *Gate) ping(ctx context.Context, c *furrow.Conn) {
-	for g.beat(c) == nil && world.Sleep(ctx, g.w, beat) {
+	for n := 0; ; n++ {
+		p := g.tells()
+		if n%askedBeats == 0 {
+			p.Asked = g.asked()
+		}
+		if c.Send(&furrow.Frame{Ping: p}) != nil || !world.Sleep(ctx, g.w, beat) {
+			return
+		}
 		g.settle()
 	}
 }
--- a/internal/hand/barn.go
+++ b/internal/hand/barn.go
@@ -40,6 +40,8 @@
 	spoke  bool          // it has sent a change on this connection
 	every  time.Duration // as told last
 	wants  bool          // figures, as it said last
+	asks   bool          // and what was asked for
+	asked  *furrow.Asked // as told last
 
 	servers *furrow.Servers // as told on this connection
 	census  *furrow.Census
@@ -91,6 +93,7 @@
 	}
 	h.mu.Lock()
 	b.conn, b.marks, b.spoke, b.every, b.wants, b.servers, b.census = c, nil, false, 0, false, nil, nil
+	b.asks, b.asked = false, nil
 	if h.leaving != "" {
 		b.send(&furrow.Frame{Leaving: &h.leaving})
 	}
@@ -149,7 +152,9 @@
 		h.acknowledge(b)
 	}
 	if f.Pong != nil {
-		b.wants = f.Pong.Want
+		if b.wants, b.asks = f.Pong.Want, f.Pong.Asks; !b.asks {
+			b.asked = nil // one who asks anew hears all
+		}
 	}
 	if f.Pong != nil && b.spoke { // it vouches for what was sent before it
 		h.fresh.Take(f.Pong, now)
@@ -232,6 +237,10 @@
 		if b.wants {
 			p.Figures = h.gate.figures
 		}
+		if b.asks && b.asked != h.gate.asked {
+			b.asked = h.gate.asked
+			p.Asked = b.asked
+		}
 	}
 	if b.conn != nil && b.every != p.Every {
 		b.every = p.Every
--- a/internal/hand/gate.go
+++ b/internal/hand/gate.go
@@ -16,6 +16,7 @@
 	ready   bool
 	rests   bool // it would be, but for the order to rest
 	figures *furrow.Figures
+	asked   *furrow.Asked
 	gen     uint64        // in force there; 0: none
 	no      uint64        // of the last change sent
 	at      time.Duration // when it was
@@ -116,6 +117,9 @@
 	ready, rests := g.ready, g.rests
 	if p := f.Ping; p != nil {
 		ready, rests, g.gen, g.figures = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures
+		if p.Asked != nil {
+			g.asked = p.Asked
+		}
 		_ = g.conn.Send(&furrow.Frame{Pong: h.fresh.Pong(p.Sent, h.now())})
 	}
 	if f.Leaving != nil {
--- /dev/null
+++ b/internal/node/asked_test.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/plot"
+)
+
+// Counts go back a minute, begin anew with a configuration, and name the busiest routes.
+func TestAskedOfAMinute(t *testing.T) {
+	till := func(gen int) *tilled {
+		var routes []string
+		for i := range mostRoutes + 2 {
+			routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"h","prefix":"/%d/","kind":"mutating","timeout_ms":10,"backend":"s"}`, i, i))
+		}
+		p, err := plot.Parse([]byte(fmt.Sprintf(`{"gen":"r%d","routes":[%s],"backends":[{"name":"s"}]}`, gen, strings.Join(routes, ","))))
+		assert.NilError(t, err)
+		e := &estate{}
+		e.till(p)
+		return e.tilled.Load()
+	}
+	m, one := &minute{}, till(1)
+	assert.Assert(t, m.asked(nil, 0) == nil)
+	var a *Asked
+	for s := time.Duration(0); s <= 200; s++ { // one request a second
+		a = m.asked(one, s*time.Second)
+		one.routes[&one.plot.Routes[7]].asked.Add(1)
+	}
+	assert.DeepEqual(t, a, &Asked{Gen: 1, Span: time.Minute, Routes: []RouteAsked{{7, 60}}})
+	two := till(2)
+	assert.DeepEqual(t, m.asked(two, 201*time.Second), &Asked{Gen: 2})
+	for i := range two.plot.Routes {
+		two.routes[&two.plot.Routes[i]].asked.Add(uint32(1 + min(i, 2)))
+	}
+	a = m.asked(two, 203*time.Second)
+	assert.Equal(t, a.Span, 2*time.Second)
+	assert.Equal(t, len(a.Routes), mostRoutes)
+	assert.DeepEqual(t, a.Routes[0], RouteAsked{2, 3})
+	assert.Equal(t, a.Rest, uint32(3)) // the first two, with 1 and 2
+}
--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -70,6 +70,7 @@
 	estate *estate
 	ready  atomic.Bool
 	yields yields // the loop's
+	minute minute
 }
 
 // NewEstate opens the sockets of an edge node of the system.
--- a/internal/node/passing.go
+++ b/internal/node/passing.go
@@ -44,13 +44,13 @@
 type tilled struct {
 	plot    *plot.Plot
 	classes map[string]*policy.Class
-	longest map[*plot.Route]*atomic.Int64 // ms that clients of a route have lately said they wait
+	routes  map[*plot.Route]*seen
 }
 
 // spent is how long a client has waited before this try: its others told it, so it waits that much less than
 // clients of its route do at their first try. What none has said lately any more is forgotten.
 func (t *tilled) spent(r *plot.Route, ms int64) time.Duration {
-	longest := t.longest[r]
+	longest := &t.routes[r].longest
 	most := longest.Load()
 	longest.Store(max(ms, most-(most-ms+longestSpan-1)/longestSpan))
 	return time.Duration(max(0, most-ms)) * time.Millisecond
@@ -77,10 +77,10 @@
 
 // till puts a configuration in force, and returns its classes.
 func (e *estate) till(p *plot.Plot) map[string]*policy.Class {
-	t := &tilled{plot: p, classes: map[string]*policy.Class{}, longest: map[*plot.Route]*atomic.Int64{}}
+	t := &tilled{plot: p, classes: map[string]*policy.Class{}, routes: map[*plot.Route]*seen{}}
 	for i := range p.Routes {
 		r := &p.Routes[i]
-		t.longest[r] = &atomic.Int64{}
+		t.routes[r] = &seen{}
 		for _, s := range r.Split {
 			name := className(r, s.Backend)
 			t.classes[name] = &policy.Class{Name: name, Aim: r.Target, Deadline: r.Timeout, Effect: effectOf(r)}
@@ -158,6 +158,7 @@
 		c.budget = min(c.budget, max(0, time.Duration(ms)*time.Millisecond-clientWay))
 		c.Spent = t.spent(route, int64(ms))
 	}
+	t.routes[route].asked.Add(1)
 	c.Service = e.draw(route)
 	c.class = t.classes[className(route, c.Service)]
 	c.Class, c.effect, c.Effect, c.Tries = c.class.Name, c.class.Effect, c.class.Effect, route.Tries
