--- a/cmd/almanac/look.go
+++ b/cmd/almanac/look.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"pepperfall.example/pepperfall/internal/almanac"
+	"pepperfall.example/pepperfall/internal/deed"
 	"pepperfall.example/pepperfall/internal/world"
 )
 
@@ -129,3 +131,11 @@
 		fmt.Fprintf(a.out, "# %s: its clock is %+d ms off, give or take %d; set right above\n", r.Barn, r.Skew, r.Doubt)
 	}
 }
+
+func (a *app) settings() *cli.Command {
+	return &cli.Command{Name: "settings", Usage: "all keys of the processes' settings, with defaults and checks; asks nobody",
+		Action: func(context.Context, *cli.Command) error {
+			_, err := io.WriteString(a.out, deed.Page())
+			return err
+		}}
+}
--- a/internal/almanac/swap_test.go
+++ b/internal/almanac/swap_test.go
@@ -30,7 +30,11 @@
 func served(t *testing.T, rate float64, story func(s *swap)) {
 	t.Helper()
 	t.Parallel()
-	l := orchard.Layout{
+	greenhouse.Play(t, sixGates(rate), func(o *greenhouse.House) { swapping(t, o, story) })
+}
+
+func sixGates(rate float64) orchard.Layout {
+	return orchard.Layout{
 		Seed:  3,
 		Zones: []orchard.Zone{{Name: "north-a", Region: "north", Edges: 2, Cores: 1}, {Name: "north-b", Region: "north", Edges: 1, Cores: 1}, {Name: "south-a", Region: "south", Edges: 3, Cores: 1}},
 		Services: []orchard.Service{{Name: "pears", Each: 2, Capacity: 6, Work: 20 * time.Millisecond, MaxConns: 100, Warmup: 3 * time.Second, WarmPerS: 21},
@@ -40,32 +44,33 @@
 		Tenants: []orchard.Tenant{{Name: "ana", Keys: []string{"key-ana"}, Rate: 60, Burst: 60}, {Name: "ion", Keys: []string{"key-ion"}}},
 		Rate:    rate,
 	}
-	greenhouse.Play(t, l, func(o *greenhouse.House) {
-		s := &swap{T: t, House: o, restarts: map[string]int{}}
-		f := &farm{T: t, client: s.another()}
-		defer f.later.Wait()
-		o.Pass(4 * time.Second)
-		s.led = &led{f: f}
-		s.Client = f.client
-		s.Hands.Run = func(_ context.Context, _, node string) error {
-			s.mu.Lock()
-			s.restarts[node]++
-			s.mu.Unlock()
-			for _, n := range o.Edges() {
-				if n.Name == node {
-					f.later.Go(func() {
-						o.Terminate(n)
-						time.Sleep(2 * time.Second)
-						if node != s.stays {
-							o.Start(n)
-						}
-					})
-				}
+}
+
+func swapping(t *testing.T, o *greenhouse.House, story func(s *swap)) {
+	s := &swap{T: t, House: o, restarts: map[string]int{}}
+	f := &farm{T: t, client: s.another()}
+	defer f.later.Wait()
+	o.Pass(4 * time.Second)
+	s.led = &led{f: f}
+	s.Client = f.client
+	s.Hands.Run = func(_ context.Context, _, node string) error {
+		s.mu.Lock()
+		s.restarts[node]++
+		s.mu.Unlock()
+		for _, n := range o.Edges() {
+			if n.Name == node {
+				f.later.Go(func() {
+					o.Terminate(n)
+					time.Sleep(2 * time.Second)
+					if node != s.stays {
+						o.Start(n)
+					}
+				})
 			}
-			return nil
 		}
-		story(s)
-	})
+		return nil
+	}
+	story(s)
 }
 
 // another is a client on a machine of its own.
--- a/internal/greenhouse/house.go
+++ b/internal/greenhouse/house.go
@@ -42,6 +42,18 @@
 	})
 }
 
+// Watch runs a story as Play does and judges nothing: for measurements with orders that the judge does not know.
+func Watch(t *testing.T, l orchard.Layout, story func(o *House)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		o := grow(t, l)
+		defer o.close()
+		o.Settle()
+		o.Clients.Start()
+		story(o)
+	})
+}
+
 // grow makes a cluster and starts all that is in it. It runs in a bubble of synctest.
 func grow(t *testing.T, l orchard.Layout) *House {
 	t.Helper()
--- a/internal/orchard/tally.go
+++ b/internal/orchard/tally.go
@@ -20,7 +20,10 @@
 }
 
 // Tally counts the tries that ended in a stretch of time, without those of stories.
-func (b *Book) Tally(from, to time.Time) *Tally {
+func (b *Book) Tally(from, to time.Time) *Tally { return b.TallyOf("", from, to) }
+
+// TallyOf counts those with a key only, and with none all.
+func (b *Book) TallyOf(key string, from, to time.Time) *Tally {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := &Tally{}
@@ -31,6 +34,7 @@
 	}
 	for _, q := range b.all {
 		switch {
+		case key != "" && q.Key != key:
 		case q.Probe || q.Ended.IsZero() || q.Ended.Before(from) || !q.Ended.Before(to):
 		case q.Status/100 == 2:
 			t.Served++
