--- /dev/null
+++ b/internal/grove/example_test.go
@@ -0,0 +1,34 @@
+package grove_test
+
+import (
+	"fmt"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/grove"
+)
+
+// Lists of servers are folded into lives. One seen draining stays closed, also where a list forgets that; servers of a
+// zone that is taken back count as cold.
+func Example() {
+	g := &grove.Grove{Terms: grove.Terms{Excess: 1.5, Slack: 5, Lag: time.Second, Regions: map[string]string{"z1": "north", "z2": "south"}}}
+	g.Services(map[string]grove.Service{"pears": {Warmup: 10 * time.Second, PerS: 2}})
+	one, two := grove.Listed{ID: "i-1", Service: "pears", Zone: "z1", Draining: true}, grove.Listed{ID: "i-2", Service: "pears", Zone: "z2"}
+	show := func() {
+		for _, l := range g.Lives() {
+			fmt.Println(l.ID, l.Region, "closed:", l.Closed, "cold until:", l.ColdUntil, "then at most a second:", l.ColdSends)
+		}
+	}
+	g.List(0, 1, []grove.Listed{one, two})
+	one.Draining = false
+	fmt.Println(g.List(time.Second, 2, []grove.Listed{one, two}), g.List(2*time.Second, 1, nil)) // an older list is not taken
+	g.Drained(3*time.Second, map[string]bool{"z2": true})
+	show()
+	g.Drained(5*time.Second, nil)
+	show()
+	// Output:
+	// true false
+	// i-1 north closed: true cold until: 0s then at most a second: 8
+	// i-2 south closed: true cold until: 0s then at most a second: 8
+	// i-1 north closed: true cold until: 0s then at most a second: 8
+	// i-2 south closed: false cold until: 16s then at most a second: 8
+}
--- /dev/null
+++ b/internal/steward/example_test.go
@@ -0,0 +1,69 @@
+package steward_test
+
+import (
+	"fmt"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/steward"
+)
+
+// Three barns elect who does a duty; when the holder falls silent, the one that it named follows without a vote.
+func Example() {
+	names := []string{"north", "south", "west"}
+	all, seats := map[string]*steward.Steward{}, map[string]furrow.Seat{}
+	for i, n := range names {
+		seats[n] = furrow.Seat{Name: n, Life: int64(i + 1)}
+		all[n] = steward.New("list", seats[n], n)
+	}
+	gone := ""
+	view := func(self string, now time.Duration) steward.View {
+		v := steward.View{Now: now, UnixMS: 5000 + uint64(now.Milliseconds()), Elector: true, Electors: 3}
+		for _, n := range names {
+			if n != self && n != gone {
+				v.Peers = append(v.Peers, steward.Peer{Seat: seats[n], Zone: n, Elector: true})
+			}
+		}
+		return v
+	}
+	var told func(from string, now time.Duration, words []steward.Tell)
+	told = func(from string, now time.Duration, words []steward.Tell) { // in order, to those who live
+		for _, w := range words {
+			for _, n := range names {
+				if n != from && n != gone && (w.To == "" || w.To == n) {
+					told(n, now, all[n].Hear(view(n, now), seats[from], w.Duty))
+				}
+			}
+		}
+	}
+	pass := func(from, to time.Duration) {
+		for now := from; now < to; now += 100 * time.Millisecond {
+			for _, n := range names {
+				if n != gone {
+					told(n, now, all[n].Step(view(n, now)))
+				}
+			}
+		}
+	}
+	show := func() {
+		for _, n := range names {
+			if n != gone {
+				d := all[n].Known()
+				fmt.Println(n, "knows", d.Holder.Name, "followed by", d.Next.Name, "step", d.Term.Step)
+			}
+		}
+	}
+	pass(0, time.Second)
+	show()
+	gone = all["north"].Known().Holder.Name
+	fmt.Println(gone, "is gone")
+	pass(time.Second, 3*time.Second)
+	show()
+	// Output:
+	// north knows south followed by west step 0
+	// south knows south followed by west step 0
+	// west knows south followed by west step 0
+	// south is gone
+	// north knows west followed by north step 1
+	// west knows west followed by north step 1
+}
