--- a/internal/almanac/push.go
+++ b/internal/almanac/push.go
@@ -16,6 +16,7 @@
 const (
 	lookEvery   = 500 * time.Millisecond
 	arriveFor   = 10 * time.Second // a version to be in force at all gates that are ready
+	tellFor     = 3 * time.Second  // gates to begin telling of their answers
 	mostLagging = 0                // gates that may be behind after that
 )
 
@@ -42,6 +43,16 @@
 	Old    []byte // and its body
 	Stages []Stage
 	Diff   []string
+
+	old, next *plot.Plot
+}
+
+// Elsewhere says which requests of the last minute would go elsewhere; it asks the barns for these.
+func (c *Client) Elsewhere(ctx context.Context, p *Plan) []string {
+	if p.old == nil {
+		return nil
+	}
+	return Elsewhere(p.old, p.next, c.Asked(ctx))
 }
 
 // Stage is one version of a push.
@@ -74,7 +85,7 @@
 		}
 		p.Held = was.Gen
 	}
-	p.Diff = Diff(was, next)
+	p.Diff, p.old, p.next = Diff(was, next), was, next
 	gen := p.Held
 	for _, part := range parts {
 		if part >= 1 {
@@ -188,13 +199,26 @@
 			if now.Sub(since) >= settle {
 				return nil
 			}
-		case now.Sub(began) > arriveFor:
-			return errors.Errorf("r%d is not in force at %v after %v", gen, behind, arriveFor)
+		case now.Sub(began) > arriveFor+settle || since.IsZero() && now.Sub(began) > arriveFor:
+			return errors.Errorf("r%d is not in force at %v after %v", gen, behind, now.Sub(began).Round(lookEvery))
+		default:
+			since = time.Time{} // one that had it has fallen behind: all is waited for anew
 		}
 		world.Sleep(ctx, c.w, lookEvery)
 	}
 }
 
+// Told is a look by which gates tell of their answers: they begin to at a first one, and what they tell next counts
+// the last seconds. Where some stay silent about that, it is the last of several.
+func (c *Client) Told(ctx context.Context) *View {
+	for began := c.w.Now(); ; {
+		v := c.Look(ctx)
+		if _, known := AnswersOf(v); known || c.w.Now().Sub(began) > tellFor || !world.Sleep(ctx, c.w, lookEvery) {
+			return v
+		}
+	}
+}
+
 // Behind names the gates that are ready and have an older version.
 func Behind(v *View, gen uint64) (names []string) {
 	for _, g := range v.Gates {
--- a/internal/almanac/swap_test.go
+++ b/internal/almanac/swap_test.go
@@ -25,12 +25,17 @@
 	restarts map[string]int
 	mu       sync.Mutex
 	stays    string // a gate that does not come back
+	born     time.Time
 }
 
 func served(t *testing.T, rate float64, story func(s *swap)) {
 	t.Helper()
 	t.Parallel()
-	l := orchard.Layout{
+	greenhouse.Play(t, sixGates(rate), func(o *greenhouse.House) { swapping(t, o, story) })
+}
+
+func sixGates(rate float64) orchard.Layout {
+	return orchard.Layout{
 		Seed:  3,
 		Zones: []orchard.Zone{{Name: "north-a", Region: "north", Edges: 2, Cores: 1}, {Name: "north-b", Region: "north", Edges: 1, Cores: 1}, {Name: "south-a", Region: "south", Edges: 3, Cores: 1}},
 		Services: []orchard.Service{{Name: "pears", Each: 2, Capacity: 6, Work: 20 * time.Millisecond, MaxConns: 100, Warmup: 3 * time.Second, WarmPerS: 21},
@@ -40,32 +45,33 @@
 		Tenants: []orchard.Tenant{{Name: "ana", Keys: []string{"key-ana"}, Rate: 60, Burst: 60}, {Name: "ion", Keys: []string{"key-ion"}}},
 		Rate:    rate,
 	}
-	greenhouse.Play(t, l, func(o *greenhouse.House) {
-		s := &swap{T: t, House: o, restarts: map[string]int{}}
-		f := &farm{T: t, client: s.another()}
-		defer f.later.Wait()
-		o.Pass(4 * time.Second)
-		s.led = &led{f: f}
-		s.Client = f.client
-		s.Hands.Run = func(_ context.Context, _, node string) error {
-			s.mu.Lock()
-			s.restarts[node]++
-			s.mu.Unlock()
-			for _, n := range o.Edges() {
-				if n.Name == node {
-					f.later.Go(func() {
-						o.Terminate(n)
-						time.Sleep(2 * time.Second)
-						if node != s.stays {
-							o.Start(n)
-						}
-					})
-				}
+}
+
+func swapping(t *testing.T, o *greenhouse.House, story func(s *swap)) {
+	s := &swap{T: t, House: o, restarts: map[string]int{}}
+	f := &farm{T: t, client: s.another()}
+	defer f.later.Wait()
+	o.Pass(4 * time.Second)
+	s.led = &led{f: f}
+	s.Client = f.client
+	s.Hands.Run = func(_ context.Context, _, node string) error {
+		s.mu.Lock()
+		s.restarts[node]++
+		s.mu.Unlock()
+		for _, n := range o.Edges() {
+			if n.Name == node {
+				f.later.Go(func() {
+					o.Terminate(n)
+					time.Sleep(2 * time.Second)
+					if node != s.stays {
+						o.Start(n)
+					}
+				})
 			}
-			return nil
 		}
-		story(s)
-	})
+		return nil
+	}
+	story(s)
 }
 
 // another is a client on a machine of its own.
@@ -221,9 +227,20 @@
 		assert.Assert(t, errors.Is(one.Rest(ctx, "edge-south-a-0", almanac.Floor{}), almanac.ErrOvertaken))
 		h.Drop()
 		other.Drop()
+		s.asked()
 	})
 }
 
+// asked makes sure that what gates tell of the last minute is what clients sent to them.
+func (s *swap) asked() {
+	s.Helper()
+	a := s.Client.Asked(context.Background())
+	assert.Assert(s, a.Gen == "r1" && a.Gates == 6 && a.Ready == 6 && a.SpanMS >= 30000 && len(a.Routes) == 2, "%+v", a)
+	_, owed := s.Book.Served(time.Now().Add(-time.Duration(a.SpanMS)*time.Millisecond), time.Now())
+	told := float64(a.Routes[0].Requests + a.Routes[1].Requests)
+	assert.Assert(s, told > 0.7*float64(owed) && told < 1.2*float64(owed), "%v told, %v sent", told, owed)
+}
+
 // Gates are taken away, and come again at rest: no client meets them before they are woken.
 func TestGatesRemovedAndAdded(t *testing.T) {
 	served(t, 15, func(s *swap) {
