--- a/internal/greenhouse/doc.go
+++ b/internal/greenhouse/doc.go
@@ -1,3 +1,3 @@
-// Package greenhouse is for tests: clusters of package orchard on a simulated network, clock and disks, and all that
-// can befall these.
+// Package greenhouse holds, for tests and for package model, clusters of package orchard on a simulated network, clock
+// and disks, and all that can befall these.
 package greenhouse
--- a/internal/greenhouse/house.go
+++ b/internal/greenhouse/house.go
@@ -50,9 +50,20 @@
 
 func growOn(t *testing.T, l orchard.Layout, g *Soil) *House {
 	t.Helper()
-	o, err := orchard.New(l, g)
+	o, err := Grow(l, g)
 	assert.NilError(t, err)
-	return &House{o, g.Net, t, g}
+	o.t = t
+	return o
+}
+
+// Grow makes a cluster on soil and starts all that is in it, in a bubble of synctest. No test stands behind it: Settle,
+// Replace and Await are for tests alone, whose parts of the Orchard tell what they come to.
+func Grow(l orchard.Layout, g *Soil) (*House, error) {
+	o, err := orchard.New(l, g)
+	if err != nil {
+		return nil, err
+	}
+	return &House{o, g.Net, nil, g}, nil
 }
 
 // Settle sends the first configuration until it is taken, and waits until all gates are ready.
@@ -112,6 +123,13 @@
 const closeWithin = time.Minute
 
 func (o *House) close() {
+	if !o.Clear() {
+		o.t.Errorf("not all processes have ended within %v", closeWithin)
+	}
+}
+
+// Clear ends all that runs, whatever trouble it is in, and tells whether it has ended in time.
+func (o *House) Clear() bool {
 	o.Clients.Stop()
 	for _, n := range o.Nodes {
 		o.machine(n).PowerOn()
@@ -120,8 +138,7 @@
 			d.SetLatency(0)
 		}
 	}
-	if !o.Close(closeWithin) {
-		o.t.Errorf("not all processes have ended within %v", closeWithin)
-	}
+	ended := o.Close(closeWithin)
 	o.Pass(5 * time.Second) // for what was on its way
+	return ended
 }
--- a/internal/orchard/book.go
+++ b/internal/orchard/book.go
@@ -20,8 +20,11 @@
 	Deadline                          time.Duration
 	Status                            int // 0: no whole answer
 	Seal, Got                         string
-	End                               string // how it ended without an answer
-	Probe                             bool   // asked by the story, not by the traffic
+	End                               string   // how it ended without an answer
+	Probe                             bool     // asked by the story, not by the traffic
+	First                             *Request // the first try for the same; nil: this is it
+	Route                             string   // the client's name for what it asks
+	Aim                               time.Duration
 	Arrivals                          []*Arrival
 }
 
@@ -84,6 +87,7 @@
 	lonely   []time.Time
 	last     []byte // configuration read back
 	read     bool
+	closing  span // from the closing fault until all machines are back; zero: there was none
 }
 
 func newBook(o *Orchard) *Book {
@@ -289,3 +293,11 @@
 	fmt.Fprintf(&b, "  %9v  client: %d %s", o.Since(q.Ended), q.Status, q.End)
 	return b.String()
 }
+
+func (x *order) String(o *Orchard) string {
+	what := x.zone
+	if x.word != nil {
+		what = string(x.word.Body())
+	}
+	return fmt.Sprintf("%v order %d %s, acknowledged %v, refused %v", o.Since(x.sent), x.kind, what, o.Since(x.acked), x.refusedAsBad)
+}
--- a/internal/orchard/client.go
+++ b/internal/orchard/client.go
@@ -1,9 +1,11 @@
 package orchard
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
 	"net/url"
@@ -24,6 +26,7 @@
 	mu    sync.Mutex
 	word  *Word // by which they choose what to ask for
 	rate  float64
+	press map[string]float64 // by tenant: so many times its usual; missing: 1
 	ids   int
 	ended bool
 }
@@ -79,6 +82,28 @@
 	c.rate = perS
 }
 
+// Press has a tenant ask so many times as often as usual, the others as often as they do.
+func (c *Clients) Press(tenant string, times float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.press == nil {
+		c.press = map[string]float64{}
+	}
+	c.press[tenant] = times
+}
+
+// pressed is how many times as much as usual all tenants ask for together.
+func (c *Clients) pressed() float64 {
+	if len(c.press) == 0 || c.word == nil {
+		return 1
+	}
+	sum, now := 0.0, 0.0
+	for _, t := range c.word.Tenants {
+		sum, now = sum+or(t.Weight), now+or(t.Weight)*or(c.press[t.Name])
+	}
+	return now / sum
+}
+
 func (c *Clients) close() {
 	for _, w := range c.crowds {
 		w.process.Kill()
@@ -99,7 +124,7 @@
 	w.where() // else those who come together at first find one asking dir, and no gate
 	for {
 		w.all.mu.Lock()
-		rate := w.all.rate / float64(len(w.all.crowds))
+		rate := w.all.rate * w.all.pressed() / float64(len(w.all.crowds))
 		w.all.mu.Unlock()
 		wait := time.Duration(-math.Log(1-w.all.o.chance()) / max(rate, 0.001) * float64(time.Second))
 		select {
@@ -125,7 +150,7 @@
 // draw chooses a route and a tenant by their weights.
 func (c *Clients) draw() wish {
 	c.mu.Lock()
-	word := c.word
+	word, press := c.word, maps.Clone(c.press)
 	c.mu.Unlock()
 	r := weighed(word.Routes, c.o.chance(), func(r Route) float64 { return r.Weight })
 	x := wish{route: r, method: "GET", path: fmt.Sprintf("%s%d?q=%d", r.Prefix, c.o.pick(1000), c.o.pick(10))}
@@ -136,7 +161,7 @@
 		x.method, x.body = "POST", x.body+more
 	}
 	if len(word.Tenants) > 0 {
-		t := weighed(word.Tenants, c.o.chance(), func(t Tenant) float64 { return t.Weight })
+		t := weighed(word.Tenants, c.o.chance(), func(t Tenant) float64 { return or(t.Weight) * or(press[t.Name]) })
 		x.key = t.Keys[c.o.pick(len(t.Keys))]
 	}
 	return x
@@ -173,13 +198,15 @@
 // ask sends a request, and sends it again as clients do.
 func (w *crowd) ask(x wish) {
 	until := time.Now().Add(time.Duration(x.route.Timeout) * time.Millisecond)
+	var first *Request
 	for range mostTries {
 		addr := w.where()
 		if addr == "" {
 			w.all.o.Book.homeless(x)
 			return
 		}
-		q := w.all.request(w, x, addr, time.Until(until))
+		q := w.all.request(w, x, addr, time.Until(until), first)
+		first = cmp.Or(first, q)
 		end := w.try(q, w.idle, w.all.o.chance() >= 0.7)
 		wait, again := w.again(q, end, until)
 		if !again {
@@ -215,13 +242,14 @@
 func denied(status int) bool { return slices.Contains([]int{400, 401, 404, 413, 431}, status) }
 
 // request notes a try that begins.
-func (c *Clients) request(w *crowd, x wish, addr string, left time.Duration) *Request {
+func (c *Clients) request(w *crowd, x wish, addr string, left time.Duration, first *Request) *Request {
 	c.mu.Lock()
 	c.ids++
 	id := fmt.Sprintf("9c41d07b%08x", c.ids)
 	c.mu.Unlock()
 	q := &Request{ID: id, Host: x.route.Host, Path: x.path, Method: x.method, Key: x.key, Body: x.body, Kind: x.route.Kind,
-		Zone: w.zone, Region: w.region, Gate: c.o.at(addr), Deadline: left}
+		Zone: w.zone, Region: w.region, Gate: c.o.at(addr), Deadline: left,
+		First: first, Route: x.route.Name, Aim: time.Duration(x.route.Target) * time.Millisecond}
 	c.o.Book.sent(q)
 	return q
 }
@@ -239,7 +267,7 @@
 // Probe sends one request straight to a gate, with a key, to a path of a host; it tells the answer's status.
 func (c *Clients) Probe(n *Node, host, path, key string) (status int) {
 	x := wish{route: Route{Host: host, Timeout: 900, Kind: "idempotent"}, method: "GET", path: path, key: key}
-	q := c.request(c.crowds[0], x, address(n.machine.IP(), portHTTP), time.Duration(x.route.Timeout)*time.Millisecond)
+	q := c.request(c.crowds[0], x, address(n.machine.IP(), portHTTP), time.Duration(x.route.Timeout)*time.Millisecond, nil)
 	c.o.Book.probe(q)
 	c.crowds[0].try(q, c.crowds[0].idle, true)
 	return q.Status
--- a/internal/orchard/judge.go
+++ b/internal/orchard/judge.go
@@ -34,6 +34,7 @@
 	b.quotas()
 	b.colds()
 	b.readBack()
+	b.recovered()
 	return b.breaks
 }
 
@@ -235,6 +236,43 @@
 	}
 }
 
+// Closing notes that the closing fault has begun, Back that all machines are back.
+func (b *Book) Closing() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closing = span{from: time.Now()}
+}
+
+// Back ends what Closing began.
+func (b *Book) Back() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closing.to = time.Now()
+}
+
+// recovered judges whether requests are served again after the closing fault.
+func (b *Book) recovered() {
+	if b.closing.to.IsZero() {
+		return
+	}
+	var before, after [2]int // served, all
+	for _, q := range b.all {
+		n := &after
+		switch {
+		case q.Sent.Before(b.closing.from):
+			n = &before
+		case q.Sent.Before(b.closing.to.Add(b.o.bounds.Recover)):
+			continue
+		}
+		if n[1]++; q.Status/100 == 2 {
+			n[0]++
+		}
+	}
+	if 4*before[0] >= before[1] && 4*after[0] < after[1] {
+		b.add("RECOVER", nil, "%d of %d are served after the closing fault, %d of %d before it", after[0], after[1], before[0], before[1])
+	}
+}
+
 // readBack judges what is in force at the end.
 func (b *Book) readBack() {
 	if !b.read {
--- a/internal/orchard/operator.go
+++ b/internal/orchard/operator.go
@@ -106,6 +106,15 @@
 	return p.Call(n, http.MethodGet, api.ConfigShow, nil)
 }
 
+// Bad sends what is no configuration to any node; that it is acknowledged breaks a rule.
+func (p *Operator) Bad(body []byte) (status int) {
+	at := p.o.Cores()
+	if status = p.Refused(at[p.o.pick(len(at))], body); status == http.StatusOK {
+		p.o.Book.broken("CONFIG", nil, "what is no configuration was acknowledged")
+	}
+	return status
+}
+
 // Refused sends what is no configuration, and tells how a node answers.
 func (p *Operator) Refused(n *Node, body []byte) (status int) {
 	status, _ = p.Call(n, http.MethodPost, api.ConfigReplace, body)
--- a/internal/orchard/rules.go
+++ b/internal/orchard/rules.go
@@ -19,5 +19,6 @@
 	{"QUOTA", "a tenant gets no more than its rate, of all gates together"},
 	{"FAILBACK", "cold servers get little at first"},
 	{"HOME", "bound requests stay in their regions"},
+	{"RECOVER", "requests are served again after the closing fault"},
 	{"FAULT", "no process ends by itself"},
 }
--- a/internal/orchard/session.go
+++ b/internal/orchard/session.go
@@ -171,7 +171,11 @@
 			}
 			p.prune([]string{addr})
 		}
-		q := w.all.request(w, x, addr, time.Until(until))
+		var first *Request
+		if len(a.tries) > 0 {
+			first = a.tries[0]
+		}
+		q := w.all.request(w, x, addr, time.Until(until), first)
 		r.o.Ledger.tried(a, q)
 		end := w.try(q, from, len(a.tries) > 1)
 		wait, again := w.again(q, end, until)
--- a/internal/sim/machine.go
+++ b/internal/sim/machine.go
@@ -170,6 +170,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	way := n.wayBetween(from, to)
+	n.carry(from, to, bytes)
 	if from == to {
 		return now.Add(way)
 	}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -30,6 +30,7 @@
 	mu        sync.Mutex
 	rnd       *rand.Rand
 	faults    Faults
+	carried   map[[2]string]*Load // by the machines from and to
 	listeners map[string]*listener
 	packets   map[netip.AddrPort]*packets
 	conns     map[*conn]string // by the address that was dialled
@@ -268,6 +269,7 @@
 	if n.packets[p.addr] != p {
 		return 0, net.ErrClosed
 	}
+	n.carry(p.addr.Addr().String(), to.Addr().String(), len(b))
 	times := 1
 	switch x := n.rnd.Float64(); {
 	case x < n.faults.Lost || n.silent[p.addr.String()] || n.silent[to.String()]:
