Let a joiner wait for the others' word that they divide by as many parts

Seen: a joiner left unused what those still held who may not have heard of it, and control took as told whose hand was heard a second after the join. A hand that talks to one barn while its lead is cut off from it could be later than that.

Change: a gate's pings tell in how many parts it divides quotas, a hand passes that on to all its barns, and a barn takes as told who goes by as many parts as it counts with the joiner. No time has to pass, and none is enough. Who tells no parts, as earlier versions do, is taken by time as before. A joiner of whom all have heard once is not asked about again.

Test: TestJoinersWaitForTheOthersWord; it fails where the parts told are left out of hasHeard.

--- a/internal/barn/census.go
+++ b/internal/barn/census.go
@@ -29,6 +29,8 @@
 	joined time.Duration // when it began to count; 0: it did from the start
 	risen  time.Duration // when it was first ready after that; 0: it was not yet
 	given  bool          // it has given its parts up
+	known  bool          // all others have said that they go by as many parts as there are with it
+	parts  int           // by which it divides quotas, as it said last; 0: it never did
 
 	rests     bool // it would be ready, but for the order to rest
 	figures   *furrow.Figures
@@ -70,7 +72,7 @@
 		r.gates[h.Name], r.sorted = g, nil
 	}
 	if isNew || !g.counts(now) {
-		g.joined, g.risen = max(now, 1), 0
+		g.joined, g.risen, g.known = max(now, 1), 0, false
 	}
 	g.hello, g.heard, g.left, g.given, g.up = h, now, 0, false, true
 	return g, isNew
@@ -98,18 +100,22 @@
 // knows the same names.
 func (r *register) members(now time.Duration) (all []furrow.Member, shares int, same bool) {
 	all = r.spare[:0]
+	for _, g := range r.gates {
+		if g.counts(now) {
+			shares++
+		}
+	}
 	for slot, n := range r.names() {
 		g := r.gates[n]
 		if !g.counts(now) {
 			continue
 		}
-		shares++
 		if g.hello.Front == "" && g.hello.Peer == "" {
 			continue // known by its name only
 		}
 		alive := g.alive(now)
 		all = append(all, furrow.Member{Hello: lean(g.hello), Ready: alive && g.ready && g.left == 0, Alive: alive, Slot: slot,
-			Silent: r.silent(g, now)})
+			Silent: r.silent(g, shares, now)})
 	}
 	if slices.Equal(all, r.last) {
 		r.spare = all
@@ -119,19 +125,30 @@
 	return all, shares, false
 }
 
-// silent is how many others count here that were there before a gate joined, and may not have heard of it.
-func (r *register) silent(g *gate, now time.Duration) (n int) {
-	if g.joined == 0 || now-g.joined >= countsFor {
+// silent is how many others count here that were there before a gate joined, and may not have heard of it: whose gates
+// have not said that they divide by as many parts as there are. So it does not matter which barn told them, or when.
+func (r *register) silent(g *gate, shares int, now time.Duration) (n int) {
+	if g.known || g.joined == 0 || now-g.joined >= countsFor {
 		return 0
 	}
 	for _, o := range r.gates {
-		if o != g && o.joined < g.joined && o.heard < g.joined+harvest.HeardBy && o.counts(now) {
+		if o != g && o.joined < g.joined && o.counts(now) && !o.hasHeard(g, shares) {
 			n++
 		}
 	}
+	g.known = n == 0
 	return n
 }
 
+// hasHeard tells whether a gate goes by a join. One that tells no parts, as earlier versions do, is taken to do so
+// where its hand was heard a while after the join.
+func (o *gate) hasHeard(g *gate, shares int) bool {
+	if o.parts == 0 {
+		return o.heard >= g.joined+harvest.HeardBy
+	}
+	return o.parts >= shares
+}
+
 // lean is what others need of a gate's Hello.
 func lean(h furrow.Hello) furrow.Hello {
 	return furrow.Hello{Role: furrow.Gate, Name: h.Name, Life: h.Life, IP: h.IP, Zone: h.Zone, Region: h.Region, Front: h.Front, Peer: h.Peer}
--- a/internal/barn/hands.go
+++ b/internal/barn/hands.go
@@ -122,6 +122,9 @@
 			b.stirred()
 		}
 		g.rests = p.Rests
+		if p.Parts > 0 {
+			g.parts = p.Parts
+		}
 		if p.Figures != nil {
 			g.figures, g.figuresAt = p.Figures, now
 		}
--- a/internal/barn/join_test.go
+++ b/internal/barn/join_test.go
@@ -1,6 +1,7 @@
 package barn
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -94,3 +95,32 @@
 	assert.Equal(t, told("e", at+harvest.RiseFor), 100)
 	assert.Equal(t, told("a", at+harvest.RiseFor), 100)
 }
+
+// A joiner takes from the others only once their gates have said that they go by as many parts as there are with it,
+// however long their hands were heard by then; a later join makes it no stranger again.
+func TestJoinersWaitForTheOthersWord(t *testing.T) {
+	r := newRegister(nil, 0)
+	at := time.Second
+	for _, n := range []string{"a", "b"} {
+		join(r, n, at).parts = 2
+	}
+	at += time.Second
+	join(r, "c", at)
+	silent := func(name string, after time.Duration) int {
+		hearAll(r, at+after)
+		all, _, _ := r.members(at + after)
+		i := slices.IndexFunc(all, func(m furrow.Member) bool { return m.Hello.Name == name })
+		return all[i].Silent
+	}
+	assert.Equal(t, silent("c", 0), 2)
+	r.gates["a"].parts = 3
+	assert.Equal(t, silent("c", 20*time.Millisecond), 1) // no time has to pass
+	assert.Equal(t, silent("c", 20*time.Second), 1)      // and none is enough: b's lead knows nothing of it
+	r.gates["b"].parts = 4
+	assert.Equal(t, silent("c", 20*time.Second), 0)
+	at += 21 * time.Second
+	r.gates["c"].parts = 3
+	join(r, "d", at)
+	assert.Equal(t, silent("c", 0), 0)
+	assert.Equal(t, silent("d", 0), 2)
+}
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -65,6 +65,7 @@
 	Lead    bool          // hand to barn: tell me servers and the census, until a Ping says otherwise
 	Every   time.Duration // hand to barn: the next Ping comes after so long; 0: as is usual
 	Rests   bool          // the gate would be ready, but for the order to rest
+	Parts   int           // in how many parts the gate divides quotas, in force there; 0: not told
 	Figures *Figures      // gate to hand, and to a barn that wants them
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,6 +40,7 @@
 	held  *furrow.Plot           // in force
 	zones map[string]furrow.Zone // orders in force: a hand that starts anew may first hear of older ones
 	gen   atomic.Uint64
+	parts atomic.Int64 // by which quotas are divided
 	conn  atomic.Pointer[furrow.Conn]
 }
 
@@ -145,7 +146,7 @@
 func (g *Gate) beat(c *furrow.Conn) error {
 	f := g.estate.Figures()
 	return c.Send(&furrow.Frame{Ping: &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(),
-		Figures: (*furrow.Figures)(&f)}})
+		Parts: int(g.parts.Load()), Figures: (*furrow.Figures)(&f)}})
 }
 
 func (g *Gate) ping(ctx context.Context, c *furrow.Conn) {
@@ -241,6 +242,7 @@
 		}
 	}
 	g.estate.Peers(s.Gates[me].Slot, s.Shares, less, at, regions)
+	g.parts.Store(int64(s.Shares)) // it holds no more than its part of so many from here on
 }
 
 const maxSlot = 1 << 12 // proxies ever known
--- a/internal/hand/barn.go
+++ b/internal/hand/barn.go
@@ -228,7 +228,7 @@
 	p := &furrow.Ping{Sent: h.now(), Lead: b.addr == h.lead.Chosen(), Every: h.lead.Every(b.addr)}
 	p.Held, p.Sum = h.state.Held()
 	if h.gate != nil {
-		p.Ready, p.Gen, p.Rests = h.gate.ready, h.gate.gen, h.gate.rests
+		p.Ready, p.Gen, p.Rests, p.Parts = h.gate.ready, h.gate.gen, h.gate.rests, h.gate.parts
 		if b.wants {
 			p.Figures = h.gate.figures
 		}
--- a/internal/hand/gate.go
+++ b/internal/hand/gate.go
@@ -17,6 +17,7 @@
 	rests   bool // it would be, but for the order to rest
 	figures *furrow.Figures
 	gen     uint64        // in force there; 0: none
+	parts   int           // by which it divides quotas; 0: not told
 	no      uint64        // of the last change sent
 	at      time.Duration // when it was
 	sent    []mark        // changes that it has not acknowledged
@@ -115,7 +116,7 @@
 	}
 	ready, rests := g.ready, g.rests
 	if p := f.Ping; p != nil {
-		ready, rests, g.gen, g.figures = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures
+		ready, rests, g.gen, g.figures, g.parts = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures, p.Parts
 		_ = g.conn.Send(&furrow.Frame{Pong: h.fresh.Pong(p.Sent, h.now())})
 	}
 	if f.Leaving != nil {
