--- a/policy/state.go
+++ b/policy/state.go
@@ -13,9 +13,10 @@
 	plan   *quota
 	first  int // its gateways: spread of them, counted round from first
 	spread int
-	near   []int   // its owners, those near here first, where its ceiling is borrowed of
-	ask    []int   // the gateways that sum its counts, where this one does not
-	part   float64 // of what is asked for fits, as its root said
+	dryAt  time.Duration // when none of those asked had units to lend; 0: never
+	near   []int         // its owners, those near here first, where its ceiling is borrowed of
+	ask    []int         // the gateways that sum its counts, where this one does not
+	part   float64       // of what is asked for fits, as its root said
 	partAt time.Duration
 	sums   bool             // others ask it here, as its root or deputy
 	leases map[lease]leased // granted to others and not told of as ended
--- a/policy/terms.go
+++ b/policy/terms.go
@@ -132,7 +132,8 @@
 // lenders are the gateways to ask, where reports go from all to all, for the units that a request lacks here though its
 // customer as a whole has some: those of this region first, then those that are asked for least.
 func (g *Gateway) lenders(r *request) (list []int) {
-	if g.set.Field == nil || g.less >= 1 || g.allowance(r.c) < r.units {
+	dry := r.c.dryAt > 0 && g.now-r.c.dryAt < dryFor
+	if g.set.Field == nil || g.less >= 1 || dry || g.allowance(r.c) < r.units {
 		return nil
 	}
 	far := func(v *peerView) int {
--- a/policy/values.go
+++ b/policy/values.go
@@ -95,6 +95,7 @@
 	wideBeyond = 24                     // gateways from which reports from all to all are too many
 	ownersEach = 2                      // of a customer, in each region
 	borrowWait = 90 * time.Millisecond  // for an owner's answer
+	dryFor     = 100 * time.Millisecond // where none had any to lend, none is asked again so soon
 	toldSpan   = 400 * time.Millisecond // what a server told of its load wears off in this time
 	usualSpan  = 2 * time.Second        // what it told counts in what is usual for so long
 
--- a/policy/wide.go
+++ b/policy/wide.go
@@ -69,6 +69,7 @@
 	if r.beyond = g.wide; r.beyond {
 		g.refuse(r)
 	} else {
+		r.c.dryAt = g.now
 		g.admit(r)
 	}
 }
