--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -41,6 +41,7 @@
 	held  *furrow.Plot           // in force
 	zones map[string]furrow.Zone // orders in force: a hand that starts anew may first hear of older ones
 	gen   atomic.Uint64
+	parts atomic.Int64 // by which quotas are divided
 	conn  atomic.Pointer[furrow.Conn]
 }
 
@@ -147,7 +148,8 @@
 
 func (g *Gate) tells() *furrow.Ping {
 	f := g.estate.Figures()
-	return &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(), Figures: (*furrow.Figures)(&f)}
+	return &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(),
+		Parts: int(g.parts.Load()), Figures: (*furrow.Figures)(&f)}
 }
 
 // asked tells the hand what was asked for lately, by route.
@@ -263,6 +265,7 @@
 		}
 	}
 	g.estate.Peers(s.Gates[me].Slot, s.Shares, less, at, regions)
+	g.parts.Store(int64(s.Shares)) // it holds no more than its part of so many from here on
 }
 
 const maxSlot = 1 << 12 // proxies ever known
--- a/internal/hand/gate.go
+++ b/internal/hand/gate.go
@@ -18,6 +18,7 @@
 	figures *furrow.Figures
 	asked   *furrow.Asked
 	gen     uint64        // in force there; 0: none
+	parts   int           // by which it divides quotas; 0: not told
 	no      uint64        // of the last change sent
 	at      time.Duration // when it was
 	sent    []mark        // changes that it has not acknowledged
@@ -116,7 +117,7 @@
 	}
 	ready, rests := g.ready, g.rests
 	if p := f.Ping; p != nil {
-		ready, rests, g.gen, g.figures = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures
+		ready, rests, g.gen, g.figures, g.parts = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures, p.Parts
 		if p.Asked != nil {
 			g.asked = p.Asked
 		}
