Pack evidence on servers in few bytes, and bound verdicts by region

Homes bind requests to a region, so half of a service out may be all that some tenants have. Change: a sheaf is packed by hand (servers named once), thinned without regard to outcomes, and read back with every length checked; Bound counts each region of a service, and leaves out what is closed.

--- /dev/null
+++ b/internal/winnow/pack.go
@@ -0,0 +1,225 @@
+package winnow
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of what is told.
+const (
+	MostSheaf = 16 << 10 // bytes of one packed
+	MostTold  = 24       // ears of a usual Sheaf, ...
+	MostWhole = 256      // ... and of a whole one
+	mostText  = 256      // bytes of a name
+)
+
+const packVersion = 1
+
+// Thin drops ears beyond a number. Which ones stay hangs on server, group and span, never on how attempts ended: so a
+// part of the evidence is as true as all of it. Records stay rather than searches, which are many.
+func (s *Sheaf) Thin(most int) {
+	if len(s.Ears) <= most {
+		return
+	}
+	rank := func(e *Ear) uint64 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(s.Witness + "\x00" + e.Server))
+		_, _ = h.Write(binary.AppendVarint([]byte{e.Group}, int64(e.Bin)))
+		v := h.Sum64()
+		v = (v ^ v>>31) * 0x9e3779b97f4a7c15 // sums of like texts are near each other
+		if e.Kind == Record {
+			v /= recordsBefore
+		}
+		return v
+	}
+	ranks := make(map[Ear]uint64, len(s.Ears))
+	for i := range s.Ears {
+		ranks[s.Ears[i]] = rank(&s.Ears[i])
+	}
+	kept := slices.Clone(s.Ears)
+	slices.SortStableFunc(kept, func(a, b Ear) int {
+		if x, y := ranks[a], ranks[b]; x != y {
+			if x < y {
+				return -1
+			}
+			return 1
+		}
+		return 0
+	})
+	s.Ears = kept[:most]
+}
+
+// recordsBefore is how much rather a record's ear is told than a search's.
+const recordsBefore = 4
+
+// Part is what of a Sheaf is about some servers; nil where nothing is.
+func (s *Sheaf) Part(mine func(server string) bool) *Sheaf {
+	p := *s
+	p.Ears = nil
+	for _, e := range s.Ears {
+		if mine(e.Server) {
+			p.Ears = append(p.Ears, e)
+		}
+	}
+	if p.Ears == nil {
+		return nil
+	}
+	return &p
+}
+
+// Pack writes a Sheaf in few bytes: links are narrow. Servers are named once.
+func (s *Sheaf) Pack() []byte {
+	var names []string
+	at := map[string]int{}
+	index := func(name string) uint64 {
+		i, known := at[name]
+		if !known {
+			i = len(names)
+			at[name] = i
+			names = append(names, name)
+		}
+		return uint64(i)
+	}
+	var tail []byte
+	tail = binary.AppendUvarint(tail, uint64(len(s.Failing)))
+	for _, id := range s.Failing {
+		tail = binary.AppendUvarint(tail, index(id))
+	}
+	tail = binary.AppendUvarint(tail, uint64(len(s.Ears)))
+	for _, e := range s.Ears {
+		tail = binary.AppendUvarint(tail, index(e.Server))
+		flags := byte(e.Kind) | e.Group<<2
+		if e.Ill {
+			flags |= 2
+		}
+		tail = append(tail, flags)
+		tail = binary.AppendVarint(tail, int64(binOf(s.Now)-e.Bin))
+		mask, counts := byte(0), []byte(nil)
+		for i, n := range e.Counts {
+			if n > 0 {
+				mask |= 1 << i
+				counts = binary.AppendUvarint(counts, uint64(n))
+			}
+		}
+		tail = append(append(tail, mask), counts...)
+	}
+	b := []byte{packVersion}
+	text := func(t string) { b = append(binary.AppendUvarint(b, uint64(len(t))), t...) }
+	text(s.Witness)
+	text(s.Zone)
+	b = binary.AppendVarint(b, s.Life)
+	for _, n := range []uint64{uint64(max(0, s.Now)), s.No, uint64(s.Tried), uint64(s.Fails), uint64(len(names))} {
+		b = binary.AppendUvarint(b, n)
+	}
+	for _, n := range names {
+		text(n)
+	}
+	return append(b, tail...)
+}
+
+var errPacked = errors.New("winnow: not the form of a sheaf")
+
+// unpacker reads what Pack wrote; after the first thing that is wrong all it reads is zero.
+type unpacker struct {
+	b   []byte
+	bad bool
+}
+
+func (u *unpacker) number() uint64 {
+	v, n := binary.Uvarint(u.b)
+	if u.bad = u.bad || n <= 0; u.bad {
+		return 0
+	}
+	u.b = u.b[n:]
+	return v
+}
+
+func (u *unpacker) signed() int64 {
+	v, n := binary.Varint(u.b)
+	if u.bad = u.bad || n <= 0; u.bad {
+		return 0
+	}
+	u.b = u.b[n:]
+	return v
+}
+
+// below reads a number that is no higher than the most.
+func (u *unpacker) below(most uint64) int {
+	v := u.number()
+	if u.bad = u.bad || v > most; u.bad {
+		return 0
+	}
+	return int(v)
+}
+
+func (u *unpacker) octet() byte {
+	if u.bad = u.bad || len(u.b) == 0; u.bad {
+		return 0
+	}
+	c := u.b[0]
+	u.b = u.b[1:]
+	return c
+}
+
+func (u *unpacker) text() string {
+	n := u.below(mostText)
+	if u.bad = u.bad || n > len(u.b); u.bad {
+		return ""
+	}
+	t := string(u.b[:n])
+	u.b = u.b[n:]
+	return t
+}
+
+// Unpack reads a packed Sheaf. What is not one, or too large, is an error.
+func Unpack(b []byte) (*Sheaf, error) {
+	u := &unpacker{b: b}
+	if len(b) > MostSheaf || u.octet() != packVersion {
+		return nil, errPacked
+	}
+	s := &Sheaf{Witness: u.text(), Zone: u.text(), Life: u.signed()}
+	s.Now, s.No = time.Duration(u.below(1<<62)), u.number()
+	s.Tried, s.Fails = u.below(1<<31), u.below(1<<31)
+	var names []string
+	for range u.below(MostSheaf) {
+		if u.bad {
+			return nil, errPacked
+		}
+		names = append(names, u.text())
+	}
+	name := func() string {
+		if i := u.number(); i < uint64(len(names)) {
+			return names[i]
+		}
+		u.bad = true
+		return ""
+	}
+	for range u.below(MostFailing) {
+		s.Failing = append(s.Failing, name())
+	}
+	for range u.below(MostSheaf) {
+		e := Ear{Server: name()}
+		flags := u.octet()
+		e.Kind, e.Ill, e.Group = Kind(flags&1), flags&2 > 0, flags>>2%Groups
+		e.Bin = binOf(s.Now) - int32(min(max(u.signed(), -mostAhead), 1<<30))
+		for i, mask := 0, u.octet(); i < int(outcomes); i++ {
+			if mask>>i&1 == 1 {
+				e.Counts[i] = uint16(u.below(countLimit))
+			}
+		}
+		if u.bad {
+			return nil, errPacked
+		}
+		s.Ears = append(s.Ears, e)
+	}
+	if u.bad || len(u.b) > 0 {
+		return nil, errPacked
+	}
+	return s, nil
+}
+
+const mostAhead = 1 << 20 // spans by which an ear may lie ahead of its sheaf; what lies so far is never taken in
--- a/internal/winnow/verdict.go
+++ b/internal/winnow/verdict.go
@@ -139,10 +139,12 @@
 type Server struct {
 	ID       string
 	Service  string
+	Region   string // homes bind requests to regions: each region of a service has its own bound
 	Capacity int
+	Closed   bool // it drains, or its zone does: it is neither out nor in
 }
 
-// At most these parts of a service's capacity are out at once.
+// At most these parts of a service's capacity in a region are out at once.
 const (
 	mostOutRecord = 1. / 2
 	mostOutAll    = 1. / 3
@@ -165,12 +167,15 @@
 	return Bound(servers, sorted(all))
 }
 
-// Bound lets the least bad of each service serve where too much of it would be out. It changes the list given.
+// Bound lets the least bad of each service and region serve where too much of it would be out. It changes the list given.
 func Bound(servers []Server, list []Verdict) []Verdict {
-	size, total := map[string]int{}, map[string]int{}
+	type field struct{ service, region string }
+	size, of, total := map[string]int{}, map[string]field{}, map[field]int{}
 	for _, s := range servers {
-		size[s.ID] = max(1, s.Capacity)
-		total[s.Service] += size[s.ID]
+		if !s.Closed {
+			size[s.ID], of[s.ID] = max(1, s.Capacity), field{s.Service, s.Region}
+			total[of[s.ID]] += size[s.ID]
+		}
 	}
 	worst := make([]*Verdict, 0, len(list))
 	for i := range list {
@@ -181,19 +186,20 @@
 	slices.SortFunc(worst, func(a, b *Verdict) int {
 		return cmp.Or(cmp.Compare(b.Level, a.Level), cmp.Compare(b.Share, a.Share), cmp.Compare(b.Age, a.Age), strings.Compare(a.Server, b.Server))
 	})
-	outRecord, outAll := map[string]int{}, map[string]int{}
+	outRecord, outAll := map[field]int{}, map[field]int{}
 	for _, v := range worst {
-		n, of := size[v.Server], float64(total[v.Service])
-		if v.Level == UnfitAll && float64(outAll[v.Service]+n) > of*mostOutAll {
+		n, in := size[v.Server], of[v.Server]
+		all := float64(total[in])
+		if v.Level == UnfitAll && float64(outAll[in]+n) > all*mostOutAll {
 			v.Level = UnfitRecord
 		}
-		if float64(outRecord[v.Service]+n) > of*mostOutRecord {
+		if float64(outRecord[in]+n) > all*mostOutRecord {
 			v.Level, v.Trial, v.Why = Doubtful, false, leastBad
 			continue
 		}
-		outRecord[v.Service] += n
+		outRecord[in] += n
 		if v.Level == UnfitAll {
-			outAll[v.Service] += n
+			outAll[in] += n
 		}
 	}
 	return list
