Let gates tell what they saw of servers, barns judge by it, and gates obey

Cause: each gate judges a server by its own few attempts; one that answers searches and loses records is found by none of many gates (docs/measurements/fit.md). A barn that starts or becomes keeper takes over what was in force. Requests that may run once leave doubted servers to the last, and unfit ones out but for named trials. Verdicts are kept in the history of orders. Off until it is measured. Whoever doesn't know the new fields neither tells nor is told.

--- a/api/operators.go
+++ b/api/operators.go
@@ -49,6 +49,7 @@
 	OrderRestore  = "Drain.Finish"
 	OrderRest     = "Node.Rest"
 	OrderWake     = "Node.Wake"
+	OrderVerdict  = "Verdict" // no order: this barn found so of a server
 )
 
 // Bounds of what operators are told.
--- a/internal/barn/barn.go
+++ b/internal/barn/barn.go
@@ -70,6 +70,8 @@
 
 	coming *furrow.Plot // sent here to be stored last, which may not be done yet
 
+	fit fit // servers judged by what all gates saw
+
 	ops ops // what operators ask beyond the platform's calls
 }
 
@@ -88,7 +90,7 @@
 	b.live.Store(set)
 	s := set.Self
 	b.self = furrow.Hello{Version: furrow.Version, Role: furrow.Barn, Name: s.Name, Life: b.start.UnixNano(), IP: s.IP, Zone: s.Zone, Region: s.Region,
-		Voter: s.Voter, Inner: set.Inner(s.IP), Ctl: set.Network.Listen.Ctl, Dir: set.Network.Listen.Dir}
+		Voter: s.Voter, Inner: set.Inner(s.IP), Ctl: set.Network.Listen.Ctl, Dir: set.Network.Listen.Dir, Judges: set.Judge.Records}
 	var err error
 	b.store, b.found, err = granary.Open(disk, s.DataDir)
 	if err != nil {
@@ -103,6 +105,7 @@
 	b.vouches = s.Voter && b.found == granary.Whole
 	b.gates = newRegister(b.store.Census(), 0)
 	b.cloud = newCloud(w)
+	b.fit = newFit()
 	b.steward = steward.New(listDuty, furrow.Seat{Name: s.Name, Life: b.self.Life}, s.Zone)
 	return b
 }
@@ -127,6 +130,9 @@
 	b.jobs.Go(func() { b.rounds(inner) })
 	b.jobs.Go(func() { b.watch(inner) })
 	b.jobs.Go(func() { b.duties(inner) })
+	if b.self.Judges {
+		b.jobs.Go(func() { b.judges(inner) })
+	}
 	b.SetSeeds(b.set.Network.Seeds)
 	b.mu.Lock()
 	for _, h := range b.barns {
--- /dev/null
+++ b/internal/barn/fit.go
@@ -0,0 +1,323 @@
+package barn
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pepperfall.example/pepperfall/api"
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
+)
+
+// Times and bounds of the judging of servers.
+const (
+	judgeEvery = time.Second
+	judgeAfter = 3 * time.Second // from the start: by then the others have told what is in force
+	adoptsFor  = 5 * time.Second // what was in force so lately is taken over by a new keeper
+	mostHeard  = 4096            // sheaves that wait to be joined
+)
+
+// fit is this barn's part in the judging of servers; all but the floor under the barn's mutex.
+type fit struct {
+	floor  *winnow.Floor // of the services that this barn keeps; the judging goroutine's
+	kept   map[string]bool
+	inbox  []sheafAt
+	mine   *winnow.Verdicts  // of the floor; nil: none yet
+	heard  map[string]*heard // of other keepers, by name
+	joined *winnow.Verdicts  // of all, as told to the hands; nil: none yet
+	lately map[string]lasting
+	levels map[string]winnow.Level // as noted in the history last
+	epoch  uint64                  // of who keeps what; 0: nobody judges here
+	seats  uint64
+	list   *furrow.Servers // of which service is
+	in     map[string]string
+}
+
+// heard is what another keeper told, and when that was sure to hold last.
+type heard struct {
+	verdicts *winnow.Verdicts
+	at       time.Duration
+}
+
+// lasting is a verdict that was in force at a time.
+type lasting struct {
+	v  winnow.Verdict
+	at time.Duration
+}
+
+type sheafAt struct {
+	s  *winnow.Sheaf
+	at time.Duration
+}
+
+func newFit() fit {
+	return fit{floor: winnow.NewFloor(), kept: map[string]bool{}, heard: map[string]*heard{}, lately: map[string]lasting{}, levels: map[string]winnow.Level{}}
+}
+
+// seat numbers connections.
+func (f *fit) seat() uint64 {
+	f.seats++
+	return f.seats
+}
+
+// reap is the number under which a hand is asked for evidence: all of it on a new connection, and once other barns
+// keep the services. 0: no evidence is wanted.
+func (f *fit) reap(h *hand) uint64 {
+	if f.epoch == 0 {
+		return 0
+	}
+	return max(1, f.epoch^h.seat)
+}
+
+// inForce are the verdicts that hold by this barn's word.
+func (f *fit) inForce() []winnow.Verdict {
+	if f.joined == nil {
+		return nil
+	}
+	return f.joined.List
+}
+
+// serviceOf is the service of a server of the list; the barn's mutex is held.
+func (b *Barn) serviceOf(id string) string {
+	f := &b.fit
+	if f.list != b.list {
+		f.list, f.in = b.list, map[string]string{}
+		for _, s := range b.list.List {
+			f.in[s.ID] = s.Backend
+		}
+	}
+	return f.in[id]
+}
+
+// judgesThere are the names of the barns that judge, this one included; the mutex is held.
+func (b *Barn) judgesThere() (names []string) {
+	if b.self.Judges && !b.leaving {
+		names = append(names, b.self.Name)
+	}
+	for name, all := range b.links {
+		if l := all[len(all)-1]; l.peer.Judges && !l.leaving {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// keeperOf is who joins the evidence on a service's servers: the name of the highest weight.
+func keeperOf(service string, names []string) (keeper string) {
+	most := uint64(0)
+	for _, n := range names {
+		if w := xxhash.Sum64String(service + "\x00" + n); keeper == "" || w > most {
+			keeper, most = n, w
+		}
+	}
+	return keeper
+}
+
+// epochOf is a number that changes with who is there; the mutex is held.
+func (b *Barn) epochOf(names []string) uint64 {
+	d := xxhash.New()
+	for _, n := range names {
+		life := b.self.Life
+		if all := b.links[n]; len(all) > 0 {
+			life = all[len(all)-1].peer.Life
+		}
+		_, _ = d.Write(append(binary.AppendVarint(nil, life), n...))
+	}
+	return max(1, d.Sum64()&^0xffffffff)
+}
+
+// sheaf takes in what a hand's gate saw and sends each keeper its part; the mutex is held.
+func (b *Barn) sheaf(h *hand, packed []byte) {
+	s, err := winnow.Unpack(packed)
+	if err != nil || s.Witness != h.name || b.list == nil || !b.self.Judges {
+		return
+	}
+	names := b.judgesThere()
+	for _, name := range names {
+		part := s.Part(func(id string) bool {
+			service := b.serviceOf(id)
+			return service != "" && keeperOf(service, names) == name
+		})
+		switch {
+		case part == nil:
+		case name == b.self.Name:
+			b.fit.take(part, b.now())
+		default:
+			all := b.links[name]
+			_ = all[len(all)-1].conn.Send(&furrow.Frame{Sheaf: part.Pack()})
+		}
+	}
+}
+
+// reaped takes in evidence that another barn sends on; the mutex is held.
+func (b *Barn) reaped(packed []byte) {
+	if s, err := winnow.Unpack(packed); err == nil && b.self.Judges {
+		b.fit.take(s, b.now())
+	}
+}
+
+func (f *fit) take(s *winnow.Sheaf, now time.Duration) {
+	if len(f.inbox) < mostHeard {
+		f.inbox = append(f.inbox, sheafAt{s, now})
+	}
+}
+
+// verdictsTold takes in what another barn tells of verdicts; the mutex is held.
+func (b *Barn) verdictsTold(l *link, c *furrow.Change) {
+	f := &b.fit
+	for _, v := range c.Lately {
+		f.lately[v.Server] = lasting{v, b.now()}
+	}
+	if c.Verdicts == nil || c.Verdicts.By != l.peer.Name {
+		return
+	}
+	if whole := c.Verdicts.Onto(l.verdictsHeard); whole != nil {
+		l.verdictsHeard = whole
+		f.heard[l.peer.Name] = &heard{whole, b.now()}
+	}
+}
+
+// judges joins what was heard, ever again.
+func (b *Barn) judges(ctx context.Context) {
+	for b.pause(ctx, judgeEvery) {
+		b.mu.Lock()
+		now := b.now()
+		names := b.judgesThere()
+		b.fit.epoch = b.epochOf(names)
+		if now < judgeAfter || b.list == nil {
+			b.mu.Unlock()
+			continue
+		}
+		all := b.judged()
+		mine, adopt := b.keepsOf(all, names, now)
+		inbox := b.fit.inbox
+		b.fit.inbox = nil
+		b.mu.Unlock()
+
+		b.fit.floor.Adopt(now, adopt)
+		for _, x := range inbox {
+			b.fit.floor.Hear(x.at, x.s)
+		}
+		v := b.fit.floor.Step(now, mine)
+
+		b.mu.Lock()
+		b.ruled(v, all, now)
+		b.mu.Unlock()
+	}
+}
+
+// judged are the servers of the list; the mutex is held.
+func (b *Barn) judged() (all []winnow.Server) {
+	zones := b.live.Load().Network.Zones
+	for _, s := range b.list.List {
+		all = append(all, winnow.Server{ID: s.ID, Service: s.Backend, Region: zones[s.Zone], Capacity: s.Capacity, Closed: s.Draining || b.zones[s.Zone].Drain})
+	}
+	return all
+}
+
+// keepsOf are the servers whose services this barn keeps, and what it takes over of those that it has not kept yet;
+// the mutex is held.
+func (b *Barn) keepsOf(all []winnow.Server, names []string, now time.Duration) (mine []winnow.Server, adopt []winnow.Verdict) {
+	f := &b.fit
+	kept := map[string]bool{}
+	for _, s := range all {
+		if keeperOf(s.Service, names) != b.self.Name {
+			continue
+		}
+		kept[s.Service] = true
+		mine = append(mine, s)
+		if last, ok := f.lately[s.ID]; ok && !f.kept[s.Service] && now-last.at <= adoptsFor {
+			last.v.Age += now - last.at
+			adopt = append(adopt, last.v)
+		}
+	}
+	f.kept = kept
+	return mine, adopt
+}
+
+// ruled puts the floor's verdicts in force, and tells others and hands what is new; the mutex is held.
+func (b *Barn) ruled(v *winnow.Verdicts, servers []winnow.Server, now time.Duration) {
+	f := &b.fit
+	b.noteVerdicts(v)
+	v.By, v.Stamp = b.self.Name, b.w.Now().UnixNano()
+	if f.mine != nil {
+		v.Stamp = max(v.Stamp, f.mine.Stamp+1)
+	}
+	f.mine = v
+	for _, all := range b.links {
+		l := all[len(all)-1]
+		if p := v.Since(l.verdicts); p != nil && l.peer.Judges {
+			l.verdicts = v
+			l.news(&furrow.Change{Verdicts: p}, nil)
+		}
+	}
+	next := &winnow.Verdicts{By: b.self.Name, Stamp: v.Stamp, List: winnow.Join(servers, b.lists(now)...)}
+	for _, x := range next.List {
+		f.lately[x.Server] = lasting{x, now}
+	}
+	for id, x := range f.lately {
+		if now-x.at > adoptsFor {
+			delete(f.lately, id)
+		}
+	}
+	if f.joined == nil || next.Since(f.joined) != nil {
+		f.joined = next
+	}
+	for h := range b.hands {
+		if p := f.joined.Since(h.verdicts); h.lead && h.verdicts != f.joined && p != nil {
+			h.verdicts = f.joined
+			h.change(&furrow.Change{Verdicts: p})
+		}
+	}
+}
+
+// lists are the verdicts of all keepers; those of one that is out of reach weigh less and less. The mutex is held.
+func (b *Barn) lists(now time.Duration) [][]winnow.Verdict {
+	f := &b.fit
+	all := [][]winnow.Verdict{f.mine.List}
+	for name, h := range f.heard {
+		if len(b.links[name]) > 0 {
+			h.at = now
+		}
+		if now-h.at > winnow.Expired {
+			delete(f.heard, name)
+			continue
+		}
+		list := slices.Clone(h.verdicts.List)
+		for i := range list {
+			v := &list[i]
+			v.Level = v.Level.Aged(now - h.at)
+			v.Trial = v.Trial && v.Level >= winnow.UnfitRecord
+		}
+		all = append(all, list)
+	}
+	return all
+}
+
+// noteVerdicts keeps in the history what has changed in this barn's own verdicts; the mutex is held.
+func (b *Barn) noteVerdicts(v *winnow.Verdicts) {
+	levels := make(map[string]winnow.Level, len(v.List))
+	for _, x := range v.List {
+		levels[x.Server] = x.Level
+		if b.fit.levels[x.Server] == x.Level {
+			continue
+		}
+		why := strings.TrimSpace(fmt.Sprintf("%s (%d outcomes, %.2f against; gates: %d against, %d for; relapses: %d)", x.Why, x.Number, x.Share, x.Against, x.For, x.Relapses))
+		b.log.Info("verdict", "server", x.Server, "service", x.Service, "level", x.Level.String(), "why", why)
+		b.keepOrder(api.Order{At: b.w.Now().UTC(), Kind: api.OrderVerdict, What: x.Server, End: x.Level.String(), Why: why})
+	}
+	for id, l := range b.fit.levels {
+		if _, there := levels[id]; !there && l > winnow.Fit {
+			b.log.Info("verdict", "server", id, "level", winnow.Fit.String())
+			b.keepOrder(api.Order{At: b.w.Now().UTC(), Kind: api.OrderVerdict, What: id, End: winnow.Fit.String()})
+		}
+	}
+	b.fit.levels = levels
+}
--- a/internal/barn/hands.go
+++ b/internal/barn/hands.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // hand is an open connection to a hand.
@@ -25,6 +26,9 @@
 
 	list   *furrow.Servers // as told last; nil: not told. Shared with others
 	census *furrow.Census  // the same
+
+	verdicts *winnow.Verdicts // as told last; nil: not told
+	seat     uint64           // tells this connection from others
 }
 
 // change sends numbered news; the barn's mutex is held.
@@ -39,6 +43,7 @@
 	h := &hand{conn: c, name: hello.Name, life: hello.Life}
 	b.mu.Lock()
 	b.hands[h] = true
+	h.seat = b.fit.seat()
 	b.arrive(*hello)
 	h.change(&furrow.Change{Zones: b.orders(h.name)}) // its first Ping tells whether it lacks the configuration
 	b.owe(h)
@@ -128,13 +133,16 @@
 		h.held, h.sum = p.Held, p.Sum
 		b.pay(h, p.Lead)
 		// Word is fresh where the newest is in force: it may still be on its way there.
-		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot), Want: now < b.ops.wants}
+		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot), Want: now < b.ops.wants, Reap: b.fit.reap(h)}
 		if b.ever {
 			pong.Age = now - b.fresh
 		}
 		_ = h.conn.Send(&furrow.Frame{Pong: pong})
 		b.lead(h, p.Lead)
 	}
+	if f.Sheaf != nil && h.lead {
+		b.sheaf(h, f.Sheaf)
+	}
 	if a := f.Ack; a != nil {
 		h.ack, h.gen = max(h.ack, a.No), a.Gen
 	}
--- a/internal/barn/mesh.go
+++ b/internal/barn/mesh.go
@@ -10,6 +10,7 @@
 
 	"pepperfall.example/pepperfall/internal/deed"
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 	"pepperfall.example/pepperfall/internal/world"
 )
 
@@ -24,6 +25,8 @@
 	knows   bool            // the other has told whom it knows
 	leaving bool
 	pending map[uint64]*poll
+
+	verdicts, verdictsHeard *winnow.Verdicts // as told to the other last, and by it
 }
 
 // keep is an address that is dialled, unless the one there has dialled us.
@@ -124,7 +127,7 @@
 	b.learn(*h)
 	l.told = b.held()
 	duty := b.steward.Greet()
-	l.news(&furrow.Change{Census: b.known(), Servers: l.told}, &duty)
+	l.news(&furrow.Change{Census: b.known(), Servers: l.told, Lately: b.fit.inForce()}, &duty)
 	if k := b.keeps[h.Inner]; k != nil && k.stop != nil && b.calledBy(h.Inner) {
 		k.stop()
 	}
@@ -184,7 +187,11 @@
 	if f.Held != nil {
 		b.hearHeld(l, f.Held)
 	}
+	if f.Sheaf != nil {
+		b.reaped(f.Sheaf)
+	}
 	if c := f.Change; c != nil {
+		b.verdictsTold(l, c)
 		if c.Census != nil {
 			l.knows = true
 			for _, h := range c.Census.Barns {
--- a/internal/barn/operators.go
+++ b/internal/barn/operators.go
@@ -98,18 +98,23 @@
 		}
 		o.Why = o.Why[:min(len(o.Why), api.MostLine)]
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.keepOrder(o)
+	return err
+}
+
+// keepOrder keeps an order, or a verdict, and has it written down; the mutex is held.
+func (b *Barn) keepOrder(o api.Order) {
 	if b.ops.note != nil {
 		b.ops.note(o)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if len(b.ops.orders) < api.MostOrders {
 		b.ops.orders = append(b.ops.orders, o)
 	} else {
 		b.ops.orders[b.ops.next%api.MostOrders] = o
 	}
 	b.ops.next++
-	return err
 }
 
 // genOf is the version that a body says it is, for the history only.
--- a/internal/barn/tell.go
+++ b/internal/barn/tell.go
@@ -23,13 +23,13 @@
 	if h.lead == wants {
 		return
 	}
-	h.lead, h.list, h.census = wants, nil, nil
+	h.lead, h.list, h.census, h.verdicts = wants, nil, nil, nil
 	if !wants {
 		return
 	}
 	b.recount()
-	h.list, h.census = b.held(), b.census
-	h.change(&furrow.Change{Servers: h.list, Census: h.census})
+	h.list, h.census, h.verdicts = b.held(), b.census, b.fit.joined
+	h.change(&furrow.Change{Servers: h.list, Census: h.census, Verdicts: h.verdicts})
 }
 
 // held is the list as of the newest reading, which may have told nothing new;
--- a/internal/deed/settings.go
+++ b/internal/deed/settings.go
@@ -18,6 +18,7 @@
 	Network  Network  `key:"network"`
 	Provider Provider `key:"provider"`
 	Terms    Terms    `key:"terms" live:"true"`
+	Judge    Judge    `key:"judge"`
 }
 
 // Self is the process and its machine.
@@ -79,6 +80,11 @@
 	Duties   []string      `key:"duties"`
 }
 
+// Judge is what is decided of servers by what all gates saw together (docs/design/fit.md).
+type Judge struct {
+	Records bool `key:"records" default:"false"` // servers that don't record safely get no requests that may run once only
+}
+
 // Terms is what is asked of the system.
 type Terms struct {
 	Contracts []string `key:"contracts"` // parts of the rules in force
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"time"
+
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // Version is the version of the frames; both ends of a connection must have the same.
@@ -36,6 +38,7 @@
 	Leaving *string // the sender goes in order, for this reason
 	Duty    *Duty   // barn to barn: who has the list's duty
 	Held    *Held   // barn to barn: a majority holds this
+	Sheaf   []byte  // gate to hand to barn, and to the barn that joins it: a packed winnow.Sheaf
 }
 
 // Hello is the first frame of each side.
@@ -53,6 +56,7 @@
 	Dir     string // a barn's dir address
 	Front   string // a gate's clients' address, told by its hand
 	Peer    string // a gate's address for peers' datagrams, told by its hand
+	Judges  bool   // a barn that joins evidence on servers
 }
 
 // Ping asks for a Pong. Sent is the asker's own steady clock and means nothing to the other.
@@ -75,6 +79,7 @@
 	Age   time.Duration // how long ago, before this Pong was sent, a majority of the core was asked that confirmed what is held
 	Fresh bool          // whether one ever did
 	Want  bool          // figures are wanted in the next Pings
+	Reap  uint64        // evidence on servers is wanted: all of it once the number changes; 0: it is not
 }
 
 // Change is numbered news. Numbers rise by one on each connection; parts that
@@ -85,6 +90,9 @@
 	Zones   []Zone // all that are known; nil: unchanged
 	Servers *Servers
 	Census  *Census
+
+	Verdicts *winnow.Verdicts
+	Lately   []winnow.Verdict // barn to barn, on a new connection: what the sender held in force just now, whoever's
 }
 
 // Ack tells that the change of a number, and all before it, are in force.
--- /dev/null
+++ b/internal/gate/fit.go
@@ -0,0 +1,128 @@
+package gate
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
+	"pepperfall.example/pepperfall/policy"
+)
+
+// Times and numbers of what a proxy tells of servers and is told of them.
+const (
+	tellEvery    = time.Second
+	starvedAfter = 3 * beat // a beat that comes so late shows that this process was not run
+	trialPart    = 9        // one of so many proxies tries a server in a round, ...
+	leastTriers  = 3        // ... and so many at least
+)
+
+// fit is what a proxy tells of servers, and what it was told of them.
+type fit struct {
+	mu       sync.Mutex
+	begun    bool
+	beat     time.Duration // the last one
+	reap     uint64        // as the hand said last; 0: it wants no evidence
+	heard    time.Duration // when it last wanted some
+	told     uint64        // for which number the whole was told
+	no       uint64        // up to which was told
+	toldAt   time.Duration
+	verdicts *winnow.Verdicts
+	gates    []string          // that may try servers, by name
+	tried    map[string]uint32 // the last round in which a server might be tried here
+	used     bool              // some server is trusted less
+}
+
+// hears takes in what the hand says of evidence and verdicts.
+func (f *fit) hears(frame *furrow.Frame, now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := frame.Pong; p != nil {
+		if f.reap = p.Reap; f.reap != 0 {
+			f.heard = now
+		}
+	}
+	if c := frame.Change; c != nil && c.Verdicts != nil {
+		f.verdicts = c.Verdicts
+	}
+}
+
+// meets takes over which proxies may try servers.
+func (f *fit) meets(all []furrow.Member) {
+	var names []string
+	for _, m := range all {
+		if m.Alive && m.Ready {
+			names = append(names, m.Hello.Name)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gates = names
+}
+
+// judges does what is due of telling and obeying; it is called once a beat.
+func (g *Gate) judges(c *furrow.Conn) {
+	f, now := &g.fit, g.now()
+	f.mu.Lock()
+	begun, late := f.begun, f.begun && now-f.beat > starvedAfter
+	f.begun, f.beat = true, now
+	f.mu.Unlock()
+	if !begun {
+		g.estate.Note(g.set.Self.Name, g.set.Self.Zone, g.life)
+	}
+	if late || !g.estate.Ready() && !g.estate.Rests() {
+		g.estate.Ill()
+	}
+	g.obeys(now)
+	f.mu.Lock()
+	reap, after := f.reap, f.no
+	due := reap != 0 && (now-f.toldAt >= tellEvery || reap != f.told)
+	most := winnow.MostTold
+	if reap != f.told {
+		after, most = 0, winnow.MostWhole
+	}
+	f.mu.Unlock()
+	if !due {
+		return
+	}
+	s, next := g.estate.Noted(after, most)
+	if s == nil || c.Send(&furrow.Frame{Sheaf: s.Pack()}) != nil {
+		return
+	}
+	f.mu.Lock()
+	f.told, f.no, f.toldAt = reap, next, now
+	f.mu.Unlock()
+}
+
+// obeys puts the verdicts in force, as far as they are to be trusted at their age.
+func (g *Gate) obeys(now time.Duration) {
+	if servers, changed := g.fit.trusts(g.set.Self.Name, now); changed {
+		g.estate.Trust(servers)
+	}
+}
+
+// trusts are how far servers are trusted now, and whether there is anything to put in force.
+func (f *fit) trusts(self string, now time.Duration) (map[string]policy.Trust, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all, rounds := map[string]policy.Trust{}, map[string]uint32{}
+	if f.verdicts != nil {
+		for _, v := range f.verdicts.List {
+			t := policy.Trust{Level: policy.Level(v.Level.Aged(now - f.heard))}
+			if round, had := f.tried[v.Server]; v.Trial && t.Level > policy.Doubted {
+				if t.Try = !had || round != v.Round; t.Try {
+					t.Try = slices.Contains(winnow.Trialists(&v, f.gates, max(leastTriers, len(f.gates)/trialPart)), self)
+				}
+				rounds[v.Server] = v.Round
+			}
+			if t.Level > policy.Trusted {
+				all[v.Server] = t
+			}
+		}
+	}
+	f.tried = rounds
+	changed := len(all) > 0 || f.used
+	f.used = len(all) > 0
+	return all, changed
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -41,6 +41,7 @@
 	zones map[string]furrow.Zone // orders in force: a hand that starts anew may first hear of older ones
 	gen   atomic.Uint64
 	conn  atomic.Pointer[furrow.Conn]
+	fit   fit
 }
 
 // New opens a proxy's sockets.
@@ -132,6 +133,7 @@
 		if p := f.Pong; p != nil && p.Fresh {
 			g.estate.Confirm(g.now() - p.Sent + p.Age)
 		}
+		g.fit.hears(f, g.now())
 		if ch := f.Change; ch != nil {
 			g.take(ch)
 			if err := c.Send(&furrow.Frame{Ack: &furrow.Ack{No: ch.No, Gen: g.gen.Load()}}); err != nil {
@@ -151,6 +153,9 @@
 func (g *Gate) ping(ctx context.Context, c *furrow.Conn) {
 	for g.beat(c) == nil && world.Sleep(ctx, g.w, beat) {
 		g.settle()
+		if g.set.Judge.Records {
+			g.judges(c)
+		}
 	}
 }
 
@@ -213,6 +218,7 @@
 }
 
 func (g *Gate) meet(s *furrow.Census) {
+	g.fit.meets(s.Gates)
 	me := slices.IndexFunc(s.Gates, func(m furrow.Member) bool { return m.Hello.Name == g.set.Self.Name })
 	if me < 0 {
 		return // control doesn't know of this one yet
--- a/internal/hand/barn.go
+++ b/internal/hand/barn.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // mostMarks bounds what waits for the gate. The oldest go first: a later
@@ -40,9 +41,12 @@
 	spoke  bool          // it has sent a change on this connection
 	every  time.Duration // as told last
 	wants  bool          // figures, as it said last
+	reap   uint64        // evidence on servers, as it said last; 0: none
 
 	servers *furrow.Servers // as told on this connection
 	census  *furrow.Census
+
+	verdicts *winnow.Verdicts
 }
 
 func (b *barn) send(f *furrow.Frame) {
@@ -90,7 +94,7 @@
 		return errors.Errorf("hand: %s at %s is no barn but %q", o.Name, b.addr, o.Role)
 	}
 	h.mu.Lock()
-	b.conn, b.marks, b.spoke, b.every, b.wants, b.servers, b.census = c, nil, false, 0, false, nil, nil
+	b.conn, b.marks, b.spoke, b.every, b.wants, b.reap, b.servers, b.census, b.verdicts = c, nil, false, 0, false, 0, nil, nil, nil
 	if h.leaving != "" {
 		b.send(&furrow.Frame{Leaving: &h.leaving})
 	}
@@ -107,7 +111,7 @@
 	defer func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		b.conn, b.seen = nil, h.now()
+		b.conn, b.reap, b.seen = nil, 0, h.now()
 		h.lead.Down(b.addr)
 		h.choose()
 	}()
@@ -149,7 +153,7 @@
 		h.acknowledge(b)
 	}
 	if f.Pong != nil {
-		b.wants = f.Pong.Want
+		b.wants, b.reap = f.Pong.Want, f.Pong.Reap
 	}
 	if f.Pong != nil && b.spoke { // it vouches for what was sent before it
 		h.fresh.Take(f.Pong, now)
@@ -175,6 +179,12 @@
 		}
 		b.census = c.Census
 	}
+	if c.Verdicts != nil {
+		if c.Verdicts = c.Verdicts.Onto(b.verdicts); c.Verdicts == nil {
+			return errors.New("hand: a part of verdicts that were never told")
+		}
+		b.verdicts = c.Verdicts
+	}
 	return nil
 }
 
--- a/internal/hand/fold.go
+++ b/internal/hand/fold.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // sharesFor is for how long after a change of lead the shares of the one before hold too.
@@ -22,7 +23,8 @@
 	PartZones
 	PartServers
 	PartCensus
-	PartsAll = PartPlot | PartZones | PartServers | PartCensus
+	PartVerdicts
+	PartsAll = PartPlot | PartZones | PartServers | PartCensus | PartVerdicts
 )
 
 // State is what all barns together have told of the operator's word, and their
@@ -37,6 +39,8 @@
 	word    *furrow.Census // of the lead; nil: it has not spoken since it is
 	shares  int            // that held before it spoke
 	until   time.Duration  // and hold beside its own
+
+	verdicts *winnow.Verdicts // of the lead, or of the one before until it has spoken
 }
 
 // NewState returns a state that knows nothing.
@@ -75,6 +79,10 @@
 			is |= PartCensus
 		}
 	}
+	if c.Verdicts != nil && barn == s.lead {
+		s.verdicts = c.Verdicts
+		is |= PartVerdicts
+	}
 	return is
 }
 
@@ -161,6 +169,9 @@
 	if p&PartCensus != 0 {
 		c.Census = s.census
 	}
+	if p&PartVerdicts != 0 {
+		c.Verdicts = s.verdicts
+	}
 	return c
 }
 
--- a/internal/hand/gate.go
+++ b/internal/hand/gate.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // gate is the one beside the hand while it is connected; all under the hand's
@@ -116,7 +117,14 @@
 	ready, rests := g.ready, g.rests
 	if p := f.Ping; p != nil {
 		ready, rests, g.gen, g.figures = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures
-		_ = g.conn.Send(&furrow.Frame{Pong: h.fresh.Pong(p.Sent, h.now())})
+		pong := h.fresh.Pong(p.Sent, h.now())
+		if b := h.barns[h.lead.Chosen()]; b != nil {
+			pong.Reap = b.reap
+		}
+		_ = g.conn.Send(&furrow.Frame{Pong: pong})
+	}
+	if b := h.barns[h.lead.Chosen()]; f.Sheaf != nil && b != nil && b.reap != 0 && len(f.Sheaf) <= winnow.MostSheaf {
+		b.send(&furrow.Frame{Sheaf: f.Sheaf})
 	}
 	if f.Leaving != nil {
 		h.log.Info("gate leaves", "why", *f.Leaving)
--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -70,6 +70,7 @@
 	estate *estate
 	ready  atomic.Bool
 	yields yields // the loop's
+	fit    fit    // the loop's
 }
 
 // NewEstate opens the sockets of an edge node of the system.
@@ -275,5 +276,8 @@
 	}
 	l.up.update(list, true)
 	l.decide(ev)
+	if len(e.fit.trusts) > 0 {
+		e.trusts(l) // of servers that are new to the module
+	}
 	e.ready.Store(e.estate.tilled.Load() != nil && e.estate.shares.Load() > 0)
 }
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -131,6 +131,7 @@
 		return result{code: policy.ConnectFailed}, false
 	}
 	bare, written := string(req.method) == "HEAD", u.clock.now()
+	stray := false
 	status, body, framed, unsent := 0, []byte(nil), false, req.estate.front.unread()
 	for range mostSurplus {
 		if err != nil {
@@ -153,7 +154,7 @@
 			p, err = c.in.piece()
 		}
 		c.in.begin() // it answers another request
-		status = 0
+		status, stray = 0, true
 	}
 	spent := req.estate.front.spent()
 	if err != nil || status == 0 {
@@ -161,9 +162,9 @@
 			return result{code: policy.ConnectFailed, spent: spent}, false
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
-			return result{code: policy.TimedOut, spent: spent}, false
+			return result{code: policy.TimedOut, spent: spent, stray: stray}, false
 		}
-		return result{code: policy.Reset, spent: spent}, false
+		return result{code: policy.Reset, spent: spent, stray: stray}, false
 	}
 	r := u.verdict(c, status, body, framed, bare)
 	if r.spent = spent; spent || c.in.unread() {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -101,6 +101,7 @@
 	mustAsk bool
 	onList  func(kind policy.MembersKind)
 	give    func(policy.Give)
+	note    func(outcome) // of how attempts end; nil: nobody does
 
 	lookEvery time.Duration
 
@@ -204,6 +205,9 @@
 	c, ev := o.c, policy.Outcome{ID: o.a.id, Attempt: o.a.num, Server: o.a.server, Code: o.code,
 		Latency: l.clock.now() - o.a.sent, Load: o.load}
 	c.out = nil
+	if l.note != nil {
+		l.note(o)
+	}
 	if o.latency > 0 {
 		ev.Latency = o.latency
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -137,6 +137,7 @@
 	contentType string // of a served answer
 	body        string
 	answer      []byte // on a system's wire: the app server's own, as it is passed on
+	stray       bool   // and there: answers to others came in its place
 
 	// On a system's wire, of bodies beyond their window.
 	fault   error         // of the client's, in the middle of its body: nothing has run
--- a/policy/api.go
+++ b/policy/api.go
@@ -231,6 +231,26 @@
 // units left, but for those that held requests need. It is the last but for what is held and out.
 type Yield struct{}
 
+// Level is how far a server is trusted, by what all gateways saw.
+type Level int
+
+// The levels. A higher one is stricter.
+const (
+	Trusted  Level = iota
+	Doubted        // what may not run twice goes elsewhere first
+	NoRecord       // nothing that may not run twice, but for trials
+	NoTrust        // nothing, but for trials
+)
+
+// Trust is how far one server is trusted.
+type Trust struct {
+	Level Level
+	Try   bool // one request may try it: of those that may not run twice, at NoTrust of the others
+}
+
+// Trusts replaces all that was told of trust before; servers that are not in it are trusted.
+type Trusts struct{ Servers map[ServerID]Trust }
+
 // Given brings units that another gateway has given up.
 type Given struct {
 	Customer uint64
@@ -299,6 +319,7 @@
 func (Peers) event()       {}
 func (Yield) event()       {}
 func (Given) event()       {}
+func (Trusts) event()      {}
 
 func (Send) action()     {}
 func (Cancel) action()   {}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -117,9 +117,13 @@
 func (g *Gateway) pick(r *request) *server {
 	var ok, doubted []*server
 	for _, s := range g.fleet {
-		if s == r.last || !g.usable(s, r) {
+		if s == r.last || !g.usable(s, r) || !s.trusted(r) {
 			continue
 		}
+		if s.trust.Level > Doubted && s.tries(r) {
+			s.trust.Try = false // one trial, wherever else there is room
+			return s
+		}
 		if v := g.record(s, r.cl); v != nil && v.bad && g.now < v.until {
 			// Its watcher alone tries a server that is out of use.
 			if s.watchers[0] == g.set.Me && g.now >= v.trial && g.mayTry(r) {
@@ -170,6 +174,9 @@
 			continue
 		}
 		p := (g.predict(s, r.cl) + s.Far.Seconds()) * (1 - jitter/2 + jitter*g.rng.Float64())
+		if s.trust.Level == Doubted && r.effect != Safe {
+			p += doubtedCost
+		}
 		if len(r.homes) == 0 && g.now < s.lackedTill {
 			p += lackedAim * r.cl.Aim.Seconds() // others can go nowhere else
 		}
--- a/policy/events.go
+++ b/policy/events.go
@@ -51,6 +51,10 @@
 		g.onYield()
 	case Given:
 		g.onGiven(ev)
+	case Trusts:
+		for _, s := range g.fleet {
+			s.trust = ev.Servers[s.ID]
+		}
 	}
 	out, g.acts = g.acts, nil
 	return out
--- a/policy/state.go
+++ b/policy/state.go
@@ -203,6 +203,8 @@
 	verdicts  float64  // its watcher may send now
 	verdictAt time.Duration
 	pace      float64 // latency against the fleet's, as the watcher learns it
+
+	trust Trust // by what all gateways saw
 }
 
 // Gateway decides for one gateway. It is not safe for concurrent use.
--- a/policy/values.go
+++ b/policy/values.go
@@ -106,5 +106,6 @@
 	holdEarly   = 20 * time.Millisecond
 	fieldTick   = 50 * time.Millisecond
 	wideAdvice  = 250 * time.Millisecond // what is beyond a quota may have units then
+	doubtedCost = 1e3                    // seconds: whoever is doubted is the last
 	shortAdvice = 60 * time.Millisecond  // a refusal for want of room is worth a look again after this
 )
