--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -43,6 +43,7 @@
 	gen   atomic.Uint64
 	parts atomic.Int64 // by which quotas are divided
 	conn  atomic.Pointer[furrow.Conn]
+	fit   fit
 }
 
 // New opens a proxy's sockets.
@@ -134,6 +135,7 @@
 		if p := f.Pong; p != nil && p.Fresh {
 			g.estate.Confirm(g.now() - p.Sent + p.Age)
 		}
+		g.fit.hears(f, g.now())
 		if ch := f.Change; ch != nil {
 			g.take(ch)
 			if err := c.Send(&furrow.Frame{Ack: &furrow.Ack{No: ch.No, Gen: g.gen.Load()}}); err != nil {
@@ -175,6 +177,9 @@
 			return
 		}
 		g.settle()
+		if g.set.Judge.Records {
+			g.judges(c)
+		}
 	}
 }
 
@@ -237,6 +242,7 @@
 }
 
 func (g *Gate) meet(s *furrow.Census) {
+	g.fit.meets(s.Gates)
 	me := slices.IndexFunc(s.Gates, func(m furrow.Member) bool { return m.Hello.Name == g.set.Self.Name })
 	if me < 0 {
 		return // control doesn't know of this one yet
--- a/internal/hand/barn.go
+++ b/internal/hand/barn.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // mostMarks bounds what waits for the gate. The oldest go first: a later
@@ -42,9 +43,12 @@
 	wants  bool          // figures, as it said last
 	asks   bool          // and what was asked for
 	asked  *furrow.Asked // as told last
+	reap   uint64        // evidence on servers, as it said last; 0: none
 
 	servers *furrow.Servers // as told on this connection
 	census  *furrow.Census
+
+	verdicts *winnow.Verdicts
 }
 
 func (b *barn) send(f *furrow.Frame) {
@@ -92,7 +96,7 @@
 		return errors.Errorf("hand: %s at %s is no barn but %q", o.Name, b.addr, o.Role)
 	}
 	h.mu.Lock()
-	b.conn, b.marks, b.spoke, b.every, b.wants, b.servers, b.census = c, nil, false, 0, false, nil, nil
+	b.conn, b.marks, b.spoke, b.every, b.wants, b.reap, b.servers, b.census, b.verdicts = c, nil, false, 0, false, 0, nil, nil, nil
 	b.asks, b.asked = false, nil
 	if h.leaving != "" {
 		b.send(&furrow.Frame{Leaving: &h.leaving})
@@ -110,7 +114,7 @@
 	defer func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		b.conn, b.seen = nil, h.now()
+		b.conn, b.reap, b.seen = nil, 0, h.now()
 		h.lead.Down(b.addr)
 		h.choose()
 	}()
@@ -152,7 +156,7 @@
 		h.acknowledge(b)
 	}
 	if f.Pong != nil {
-		if b.wants, b.asks = f.Pong.Want, f.Pong.Asks; !b.asks {
+		if b.wants, b.asks, b.reap = f.Pong.Want, f.Pong.Asks, f.Pong.Reap; !b.asks {
 			b.asked = nil // one who asks anew hears all
 		}
 	}
@@ -180,6 +184,12 @@
 		}
 		b.census = c.Census
 	}
+	if c.Verdicts != nil {
+		if c.Verdicts = c.Verdicts.Onto(b.verdicts); c.Verdicts == nil {
+			return errors.New("hand: a part of verdicts that were never told")
+		}
+		b.verdicts = c.Verdicts
+	}
 	return nil
 }
 
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -129,6 +129,7 @@
 		return ended(verdict.Unsent, err), false
 	}
 	bare, written := string(req.method) == "HEAD", u.clock.now()
+	stray := false
 	status, body, framed, unsent := 0, []byte(nil), false, req.estate.front.unread()
 	for range mostSurplus {
 		if err != nil {
@@ -151,7 +152,7 @@
 			p, err = c.in.piece()
 		}
 		c.in.begin() // it answers another request
-		status = 0
+		status, stray = 0, true
 	}
 	spent := req.estate.front.spent()
 	if err != nil || status == 0 {
@@ -159,7 +160,7 @@
 		if unsent && !req.estate.front.ending() { // and never will be sent
 			r = ended(verdict.Unsent, err)
 		}
-		r.spent = spent
+		r.spent, r.stray = spent, stray
 		return r, false
 	}
 	r := judged(c, status, body, framed, bare)
