Tell who has the list's duty, who is next, its term, and which gates lag behind

Cause: status told the duty's holder alone, and versions only gate by gate.

Change: ctl.yaml first, then the barn's Status: next, epoch and step of a duty, and versions in force with the number of gates and the names of those that may serve something old. almanac status prints both ahead of its tables.

TestDutyAndVersionsAreTold (kept after the holder's end and a gate cut off) fails without the lines; the file and the code are held together by TestFormsAreTheFiles' kin in api.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -78,6 +78,7 @@
 	}{
 		{"ctl.yaml", "Status", Status{}},
 		{"ctl.yaml", "Version", Version{}},
+		{"ctl.yaml", "VersionAt", VersionAt{}},
 		{"ctl.yaml", "BarnView", BarnView{}},
 		{"ctl.yaml", "GateView", GateView{}},
 		{"ctl.yaml", "ZoneOrder", ZoneOrder{}},
--- a/api/operators.go
+++ b/api/operators.go
@@ -78,6 +78,7 @@
 	Barns     []BarnView  `json:"barns"`
 	Gates     []GateView  `json:"gates"`
 	LeftOut   int         `json:"left_out"` // gates beyond MostGates
+	Versions  []VersionAt `json:"versions"` // in force at gates, newest first
 	Shares    int         `json:"shares"`
 	Zones     []ZoneOrder `json:"zones"`
 	Nodes     []NodeOrder `json:"nodes"`
@@ -92,6 +93,13 @@
 	Digest string `json:"digest"` // SHA-256 in hexadecimal
 }
 
+// VersionAt is a version that some gates have in force.
+type VersionAt struct {
+	Gen   string   `json:"gen"`   // empty: none or not told
+	Gates int      `json:"gates"` // at so many
+	Lag   []string `json:"lag"`   // names of those of them that may serve something old
+}
+
 // BarnView is what a barn knows of another, or of itself.
 type BarnView struct {
 	Name      string  `json:"name"`
@@ -163,7 +171,10 @@
 // Duty is work that one barn does for all.
 type Duty struct {
 	Name   string `json:"name"`
-	Holder string `json:"holder"` // by this barn's view of who is alive
+	Holder string `json:"holder"` // of the highest term that this barn knows; empty: nobody had one
+	Next   string `json:"next"`   // may follow the holder without a vote; empty: nobody
+	Epoch  uint64 `json:"epoch"`  // of that term: the vote of a majority that it goes back to
+	Step   uint64 `json:"step"`   // of that term: how often since then the next one followed the holder
 	Rank   int    `json:"rank"`   // this barn's own
 }
 
--- a/cmd/almanac/main_test.go
+++ b/cmd/almanac/main_test.go
@@ -36,7 +36,8 @@
 	switch path := r.URL.Path; {
 	case path == api.OpsStatus:
 		_ = json.NewEncoder(w).Encode(&api.Status{Barn: "b\x1b[2J", At: time.Now(), Voter: true, Vouches: true, Voters: 1, Majority: 1, Zones: c.zones, Nodes: c.nodes,
-			Barns: []api.BarnView{{Name: "b", Voter: true, Answered: true, Vouches: true}}, Gates: []api.GateView{{Name: "g", Zone: "z1", Ready: len(c.nodes) == 0, Alive: true, Life: 1, Figures: &api.Figures{SpanMS: 1000}}}})
+			Duties: []api.Duty{{Name: "servers", Holder: "b", Next: "c\x1b", Epoch: 7, Step: 2}},
+			Barns:  []api.BarnView{{Name: "b", Voter: true, Answered: true, Vouches: true}}, Gates: []api.GateView{{Name: "g", Zone: "z1", Gen: "r3", Lags: "silent", Ready: len(c.nodes) == 0, Alive: true, Life: 1, Figures: &api.Figures{SpanMS: 1000}}}})
 	case path == api.OpsLog:
 		_ = json.NewEncoder(w).Encode(&api.Log{Barn: "b", At: time.Now(), Lines: []api.LogLine{{Text: "about 9c41"}, {No: 1, Text: "else"}}})
 	case path == api.OpsHistory:
@@ -88,6 +89,8 @@
 		says     string
 	}{
 		{"status", "", 0, 0, "b?[2J"},
+		{"status", "", 0, 0, "duty servers: b has it, c? is next, term 7.2"},
+		{"status", "", 0, 0, "in force: r3 at 1 of 1 gates, behind: g"},
 		{"status --json", "", 0, 0, `"settled": true`},
 		{"node list", "", 0, 0, "GATE"},
 		{"config check " + bad, "", 0, badInput, "bad: line 1: gen"},
--- a/internal/almanac/table.go
+++ b/internal/almanac/table.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"pepperfall.example/pepperfall/api"
 )
 
+const mostNamed = 12 // gates in one line
+
 // Write writes a view as tables.
 func (v *View) Write(out io.Writer) {
 	for _, t := range v.Troubles {
@@ -22,6 +25,12 @@
 	if c := v.Config; c != nil {
 		fmt.Fprintf(out, "configuration: %s, %d routes, %d services, %d tenants\n", c.Gen, c.Routes, len(c.Services), len(c.Tenants))
 	}
+	if d := v.Duty; d.Holder != "" {
+		fmt.Fprintf(out, "duty %s: %s has it, %s is next, term %d.%d\n", d.Name, d.Holder, or(d.Next), d.Epoch, d.Step)
+	}
+	for _, x := range v.Versions {
+		fmt.Fprintf(out, "in force: %s at %d of %d gates%s\n", or(x.Gen), x.Gates, len(v.Gates), lagging(x.Lag))
+	}
 	if v.Lock.Who != "" {
 		fmt.Fprintf(out, "lock: held by %s since %s\n", v.Lock.Who, v.Lock.Since.UTC().Format(time.RFC3339))
 	}
@@ -38,11 +47,11 @@
 		}
 		fmt.Fprintf(t, "%s\t%s\t%d of %d\t%d of %d\t%d\t%d\t%d\n", z.Name, drained, z.Answering, z.Barns, z.Ready, z.Gates, z.Servers.Ready, z.Servers.Cold, z.Servers.Draining)
 	}
-	fmt.Fprintln(t, "\nBARN\tDUTY\tHOLDER BY ITS VIEW\tITS OWN RANK\tLIST STAMP\tBY\tHEARD\tSHARES")
+	fmt.Fprintln(t, "\nBARN\tDUTY\tHOLDER BY ITS VIEW\tNEXT\tTERM\tITS OWN RANK\tLIST STAMP\tBY\tHEARD\tSHARES")
 	for _, l := range v.Looks {
 		if s := l.Status; s != nil {
 			for _, d := range s.Duties {
-				fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%d\n", s.Barn, d.Name, d.Holder, d.Rank, stamp(s.List.Stamp), or(s.List.By), ago(s.List.HeardMS), s.Shares)
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d.%d\t%d\t%s\t%s\t%s\t%d\n", s.Barn, d.Name, or(d.Holder), or(d.Next), d.Epoch, d.Step, d.Rank, stamp(s.List.Stamp), or(s.List.By), ago(s.List.HeardMS), s.Shares)
 			}
 		}
 	}
@@ -92,6 +101,18 @@
 	return fmt.Sprintf("%d\t%d\t%.1f\t%.1f\t%.1f", f.Open, f.Clients, float64(f.Served)/s, float64(f.Refused)/s, float64(f.Failed)/s)
 }
 
+// lagging names those of a version's gates that may serve something old.
+func lagging(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	more := ""
+	if n := len(names) - mostNamed; n > 0 {
+		names, more = names[:mostNamed], fmt.Sprintf(" and %d more", n)
+	}
+	return ", behind: " + strings.Join(names, ", ") + more
+}
+
 func or(text string) string {
 	if text == "" {
 		return "-"
--- a/internal/almanac/trouble.go
+++ b/internal/almanac/trouble.go
@@ -33,6 +33,12 @@
 		g := &s.Gates[i]
 		texts = append(texts, &g.Name, &g.Zone, &g.Region, &g.Front, &g.Gen, &g.Lags)
 	}
+	for i := range s.Versions {
+		texts = append(texts, &s.Versions[i].Gen)
+		for j := range s.Versions[i].Lag {
+			texts = append(texts, &s.Versions[i].Lag[j])
+		}
+	}
 	for i := range s.Zones {
 		texts = append(texts, &s.Zones[i].Zone, &s.Zones[i].By)
 	}
@@ -44,7 +50,7 @@
 		texts = append(texts, &s.List.Servers[i].Zone)
 	}
 	for i := range s.Duties {
-		texts = append(texts, &s.Duties[i].Name, &s.Duties[i].Holder)
+		texts = append(texts, &s.Duties[i].Name, &s.Duties[i].Holder, &s.Duties[i].Next)
 	}
 	for _, t := range texts {
 		*t = clean(*t)
--- a/internal/almanac/view.go
+++ b/internal/almanac/view.go
@@ -32,8 +32,10 @@
 	Gates    []Gate          `json:"gates"`
 	Zones    []Zone          `json:"zones"`
 	Nodes    []api.NodeOrder `json:"nodes"`
-	Lock     api.LockView    `json:"lock"`   // by a barn that has granted it; Who empty: nobody has it
-	Config   *Summary        `json:"config"` // nil: not known
+	Duty     api.Duty        `json:"duty"`     // the list's, by the highest term that an answering barn knows
+	Versions []api.VersionAt `json:"versions"` // in force at gates, newest first, by the barn that heard of each last
+	Lock     api.LockView    `json:"lock"`     // by a barn that has granted it; Who empty: nobody has it
+	Config   *Summary        `json:"config"`   // nil: not known
 	Troubles []string        `json:"troubles"`
 }
 
@@ -199,6 +201,11 @@
 		if s.Lock.Who != "" && (v.Lock.Who == "" || s.Lock.LeftMS > v.Lock.LeftMS) {
 			v.Lock = s.Lock
 		}
+		for _, d := range s.Duties {
+			if old := v.Duty; d.Epoch > old.Epoch || d.Epoch == old.Epoch && (d.Step > old.Step || d.Step == old.Step && d.Holder >= old.Holder) {
+				v.Duty = d
+			}
+		}
 		for _, o := range s.Zones {
 			z := zone(o.Zone)
 			if old := z.Order; o.Count > old.Count || o.Count == old.Count && (o.By > old.By || o.By == old.By && o.Confirmed) {
@@ -233,6 +240,13 @@
 			z.Awake++
 		}
 	}
+	v.Versions = plot.VersionsAt(func(yield func(api.GateView) bool) {
+		for i := range v.Gates {
+			if !yield(v.Gates[i].GateView) {
+				return
+			}
+		}
+	})
 	for _, name := range slices.Sorted(maps.Keys(nodes)) {
 		v.Nodes = append(v.Nodes, nodes[name])
 	}
--- a/internal/barn/hands_test.go
+++ b/internal/barn/hands_test.go
@@ -69,6 +69,7 @@
 				if ch.Census != nil {
 					h.who = ch.Census.Onto(h.who)
 				}
+				_ = c.Send(&furrow.Frame{Ack: &furrow.Ack{No: ch.No, Gen: h.gen}})
 			}
 			if po := fr.Pong; po != nil {
 				h.ever, h.age = po.Fresh, time.Since(began)-po.Sent+po.Age
--- a/internal/barn/operators.go
+++ b/internal/barn/operators.go
@@ -17,6 +17,7 @@
 
 	"pepperfall.example/pepperfall/api"
 	"pepperfall.example/pepperfall/internal/granary"
+	"pepperfall.example/pepperfall/internal/plot"
 	"pepperfall.example/pepperfall/internal/silo"
 )
 
@@ -212,7 +213,8 @@
 	if l := b.ops.lease; l.until > now {
 		s.Lock = api.LockView{Who: l.lock.Who, Since: time.Unix(0, l.lock.Since).UTC(), LeftMS: (l.until - now).Milliseconds()}
 	}
-	s.Duties = []api.Duty{{Name: listDuty, Holder: b.steward.Known().Holder.Name, Rank: b.steward.Rank(b.view())}}
+	d := b.steward.Known()
+	s.Duties = []api.Duty{{Name: listDuty, Holder: d.Holder.Name, Next: d.Next.Name, Epoch: d.Term.Epoch, Step: d.Term.Step, Rank: b.steward.Rank(b.view())}}
 	s.List = b.listView(now)
 	return s
 }
@@ -253,6 +255,7 @@
 		v.Lags = lags(v, g, s.Confirmed.Gen)
 		s.Gates = append(s.Gates, v)
 	}
+	s.Versions = plot.VersionsAt(slices.Values(s.Gates))
 	for _, n := range names {
 		if b.gates.gates[n].counts(now) {
 			s.Shares++
--- a/internal/barn/operators_test.go
+++ b/internal/barn/operators_test.go
@@ -13,6 +13,7 @@
 
 	"pepperfall.example/pepperfall/api"
 	"pepperfall.example/pepperfall/internal/silo"
+	"pepperfall.example/pepperfall/internal/sim"
 )
 
 func (f *farm) get(i int, path string, into any) int {
@@ -66,3 +67,37 @@
 		synctest.Wait()
 	})
 }
+
+// Each barn tells who has the list's duty, who is next and in which term, also after the holder has gone; and which
+// version is in force at which gates, by name where one may serve something old.
+func TestDutyAndVersionsAreTold(t *testing.T) {
+	play(t, 3, func(f *farm) {
+		f.acknowledged(0, body(3, "a"))
+		defer f.hand("1", 1).stop()
+		behind := f.hand("2", 1)
+		defer behind.stop()
+		f.until(3*time.Second, "in force", behind.sees(func(h *farmhand) bool { return h.gen == 3 }))
+		told := func(of ...int) (s api.Status) {
+			for _, i := range of {
+				was := s
+				assert.Equal(t, f.get(i, api.OpsStatus, &s), 200)
+				assert.Assert(t, was.Barn == "" || was.Duties[0].Holder == s.Duties[0].Holder && was.Duties[0].Next == s.Duties[0].Next, "%+v", s.Duties)
+			}
+			return s
+		}
+		time.Sleep(2 * time.Second)
+		was := told(0, 1, 2).Duties[0]
+		assert.Assert(t, was.Holder != "" && was.Next != "" && was.Next != was.Holder && was.Epoch > 0, "%+v", was)
+		assert.DeepEqual(t, told(1).Versions, []api.VersionAt{{Gen: "r3", Gates: 2, Lag: []string{}}})
+		f.cut([]string{"10.1.0.2"}, ips(0, 1, 2), sim.Silent)
+		f.acknowledged(0, body(4, "a"))
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, told(1).Versions, []api.VersionAt{{Gen: "r4", Gates: 1, Lag: []string{}}, {Gen: "", Gates: 1, Lag: []string{"gate-2"}}})
+		holder := int(was.Holder[len(was.Holder)-1] - '0')
+		f.end(holder, false)
+		time.Sleep(3 * time.Second)
+		is := told((holder+1)%3, (holder+2)%3).Duties[0]
+		assert.Assert(t, is.Holder == was.Next && is.Next != was.Holder && is.Next != "", "%+v", is)
+		assert.Assert(t, is.Epoch > was.Epoch || is.Epoch == was.Epoch && is.Step > was.Step, "%+v", is)
+	})
+}
