Let no order wait for others without end, and refuse none that another barn took

Cause: versions that keep coming while one is being written kept orders about zones from a slow disk: the configuration always went first (seen with a version each 10 ms on a disk of 20 ms: evacuations not acknowledged in their time). And a barn whose settings lack a zone answered 404 to an order that another had taken.

Change: after a configuration the orders go first, and a zone with an order held by a majority is known. TestNeitherKeepsTheOtherWaiting, TestManyOrdersAtOnce (eight at once, answers lost, orders about zones within a second) fail without the lines; TestFirstStartWaitsForSeeds now starts its seeds last.

--- a/internal/barn/guard_test.go
+++ b/internal/barn/guard_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"pepperfall.example/pepperfall/internal/furrow"
@@ -232,8 +233,11 @@
 				}
 				f.first = true
 				f.cut(ips(2), ips(0, 1, 3), sim.Silent)
-				f.startAll()
-				for began := time.Now(); time.Since(began) < seedsWithin-100*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+				for i := range n {
+					f.start(n - 1 - i) // seeds that are not listening yet
+					time.Sleep(100 * time.Millisecond)
+				}
+				for began := time.Now(); time.Since(began) < seedsWithin-500*time.Millisecond; time.Sleep(50 * time.Millisecond) {
 					assert.Equal(t, f.vouching(), 0, "%v after the start", time.Since(began))
 				}
 				if comes {
@@ -276,3 +280,59 @@
 		f.acknowledged(0, body(3, "a"))
 	})
 }
+
+// Eight orders at once, over and over, answers lost on their way: each is acknowledged, orders about zones within a
+// second, and what was acknowledged is so again at any barn, also at one whose settings don't know the zone.
+func TestManyOrdersAtOnce(t *testing.T) {
+	play(t, 4, func(f *farm) {
+		ctx := context.Background()
+		for _, d := range f.disks {
+			d.SetLatency(8 * time.Millisecond)
+		}
+		assert.NilError(t, f.runs[0].Drain(ctx, "z0", false))
+		few := *f.settings(3)
+		few.Network.Zones = map[string]string{"z1": "r"}
+		f.runs[3].live.Store(&few)
+		for round := range 15 {
+			orders := []func(at int) error{}
+			for i := range 5 {
+				gen := 10*round + 2 + (i*3)%7
+				orders = append(orders, func(at int) error { return f.replace(at, body(gen, "a")) })
+			}
+			for i := range 3 {
+				zone, drain := []string{"z0", "z1", "z0"}[i], i == 1
+				orders = append(orders, func(at int) error { return f.runs[at].Drain(ctx, zone, drain) })
+			}
+			took := make(chan time.Duration, len(orders))
+			for i, order := range orders {
+				go func() {
+					began := time.Now()
+					for at := (i + round) % 4; ; at = (at + 1) % 4 {
+						err := order(at)
+						if err == nil || time.Since(began) > 5*time.Second {
+							break
+						}
+						assert.Check(t, errors.Is(err, ErrUnsettled), "%v", err)
+					}
+					d := time.Since(began)
+					if assert.Check(t, d < 2*time.Second && (i < 5 || d < time.Second), "order %d: %v", i, d); round%3 == 0 && i < 6 { // its answer was lost
+						err := order((i + 3) % 4)
+						assert.Check(t, err == nil || errors.Is(err, ErrUnsettled), "%v", err)
+					}
+					took <- d
+				}()
+			}
+			for range orders {
+				<-took
+			}
+			f.shows(round%4, body(10*round+8, "a"))
+		}
+		assert.NilError(t, f.runs[0].Drain(ctx, "z0", true))
+		assert.NilError(t, f.runs[3].Drain(ctx, "z0", true))
+		assert.ErrorIs(t, f.runs[3].Drain(ctx, "nowhere", true), ErrZone)
+		time.Sleep(time.Second)
+		for _, r := range f.runs {
+			assert.Assert(t, r.mineNow().zone("z0").Drain && r.mineNow().zone("z1").Drain)
+		}
+	})
+}
--- a/internal/barn/word.go
+++ b/internal/barn/word.go
@@ -75,12 +75,14 @@
 
 // Drain takes an order about a zone.
 func (b *Barn) Drain(ctx context.Context, zone string, drain bool) error {
-	if _, ok := b.live.Load().Network.Zones[zone]; !ok {
-		return errors.WithMessage(ErrZone, zone)
-	}
 	ctx, cancel := b.within(ctx, callWithin)
 	defer cancel()
-	return b.order(ctx, zone, drain, nil)
+	return b.order(ctx, zone, drain, func(held map[string]furrow.Zone) error {
+		if _, ok := b.live.Load().Network.Zones[zone]; !ok && held[zone].Count == 0 {
+			return errors.WithMessage(ErrZone, zone)
+		}
+		return nil // another's settings may know it: what was taken there is not refused here
+	})
 }
 
 // order brings the next order about a zone or node, where the orders held allow it.
--- a/internal/granary/granary.go
+++ b/internal/granary/granary.go
@@ -54,8 +54,9 @@
 	wantZones  map[string]furrow.Zone
 	wantCore   *Core
 	wantCensus []string
-	firm       bool  // wantCore has to be on disk before anything else is
-	trouble    error // of the last file written; nil: it was
+	last       string // the kind of file written last
+	firm       bool   // wantCore has to be on disk before anything else is
+	trouble    error  // of the last file written; nil: it was
 	waiters    []*waiter
 	wake       chan struct{}
 }
@@ -285,7 +286,7 @@
 			}
 			g.firm = false
 		}
-	case g.wantPlot != nil:
+	case g.wantPlot != nil && (g.wantZones == nil || g.last != plotFile): // neither keeps the other waiting
 		p := g.wantPlot
 		kind, number, body = plotFile, p.Gen, p.Body
 		held = func() {
@@ -321,7 +322,7 @@
 	err := write(g.disk, g.dir, kind, seal(kind, number, body))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.trouble = err
+	g.trouble, g.last = err, kind
 	if err == nil {
 		held()
 	} else {
--- a/internal/granary/granary_test.go
+++ b/internal/granary/granary_test.go
@@ -115,3 +115,32 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Versions that come without an end don't keep an order about a zone from the disk, nor the other way round.
+func TestNeitherKeepsTheOtherWaiting(t *testing.T) {
+	for _, plots := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			d := sim.NewDisk(1)
+			g, stop := start(t, d, Empty)
+			d.SetLatency(20 * time.Millisecond)
+			store := func(plots bool, n uint64) error {
+				if plots {
+					return g.StorePlot(within(time.Second), plot(n))
+				}
+				return g.StoreZone(within(time.Second), furrow.Zone{Zone: "z", Count: n, Drain: true})
+			}
+			for n := range uint64(200) {
+				go func() { _ = store(plots, n+1) }()
+				if time.Sleep(10 * time.Millisecond); n%40 == 39 {
+					began := time.Now()
+					go func() {
+						assert.Check(t, store(!plots, n))
+						assert.Check(t, time.Since(began) < 500*time.Millisecond, "%v", time.Since(began))
+					}()
+				}
+			}
+			time.Sleep(2 * time.Second)
+			stop()
+		})
+	}
+}
