Let connections rest as long before their first request as between two

Cause: a connection that had not brought a request was closed after header_timeout_ms, though the configuration names idle_timeout_ms for those that are idle, and clients take up rested ones for up to four fifths of that.

Change: on the system's wire the first request is waited for like any other, and has its own time once it has begun; which connections go first where there are too many is as before. The old wire keeps its time from the connect.

--- a/internal/node/estate_test.go
+++ b/internal/node/estate_test.go
@@ -352,3 +352,32 @@
 		assert.Assert(t, time.Since(began) < 6*time.Second)
 	})
 }
+
+// A connection may rest for nearly as long as the configuration says, before its first request and between two; then it
+// is closed, and a request that has begun has its own time.
+func TestConnectionsMayRest(t *testing.T) {
+	play(t, false, func(r *rig) {
+		r.acts = []act{served}
+		r.tell()
+		p, err := plot.Parse([]byte(strings.Replace(estatePlot, `"gen":"r1",`, `"gen":"r2","limits":{"idle_timeout_ms":20000,"header_timeout_ms":700},`, 1)))
+		assert.NilError(t, err)
+		r.Plot(p)
+		c := r.dial()
+		defer c.Close()
+		for range 3 {
+			time.Sleep(16 * time.Second)
+			_, err := io.WriteString(c, wired("/act/", ""))
+			assert.NilError(t, err)
+			assert.Equal(t, r.answer(c).StatusCode, 200)
+		}
+		for _, bytes := range []string{"", "GET /get/"} {
+			c, began := r.dial(), time.Now()
+			_, err := io.WriteString(c, bytes)
+			assert.NilError(t, err)
+			_, _ = io.Copy(io.Discard, c)
+			took := time.Since(began)
+			assert.Assert(t, bytes == "" && took > 19*time.Second && took < 21*time.Second || bytes != "" && took < 2*time.Second, "%q: %v", bytes, took)
+			c.Close()
+		}
+	})
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -313,7 +313,7 @@
 // talk serves a connection, one request after another.
 func (s *server) talk(cc *clientConn) {
 	defer s.leave(cc)
-	for first := true; ; first = false {
+	for first := s.estate == nil; ; first = false { // on the system's wire a connection rests before its first request as before others
 		cc.in.begin()
 		tune := s.tune.Load()
 		wait := tune.ClientIdle
