--- a/internal/almanac/swap_test.go
+++ b/internal/almanac/swap_test.go
@@ -241,7 +241,8 @@
 	assert.Assert(s, told > 0.7*float64(owed) && told < 1.2*float64(owed), "%v told, %v sent", told, owed)
 }
 
-// Gates are taken away, and come again at rest: no client meets them before they are woken.
+// Gates are taken away, and come again at rest: no client meets them before they are woken. Barns are killed as soon as
+// either begins.
 func TestGatesRemovedAndAdded(t *testing.T) {
 	served(t, 15, func(s *swap) {
 		began := time.Now()
@@ -249,11 +250,20 @@
 		run := s.Hands.Run
 		s.stays = n.Name
 		s.begin("remove-gates", "stop=do gate="+n.Name)
+		s.settled = func(o *calendar.Order) {
+			if o.Deed == calendar.DeedRest {
+				s.Kill(s.Core(2)) // the zone's barn, before anybody has read that the gate rests
+			}
+		}
 		s.endsAs(calendar.EndDone)
 		assert.Equal(t, s.awake(), 5)
 		s.Hands.Run = func(context.Context, string, string) error { s.Start(n); return nil }
 		s.begin("add-gates", "start=do gate="+n.Name)
 		s.settled = func(o *calendar.Order) {
+			if o.Deed == calendar.DeedRest {
+				s.Kill(s.Core(0))
+				s.Kill(s.Core(1)) // no majority for a moment
+			}
 			for i := 0; o.Deed == calendar.DeedStart && i < 40; i++ {
 				time.Sleep(100 * time.Millisecond)
 				assert.Check(t, !s.Clients.Named(s.Core(0), n) && !n.Ready())
--- a/internal/greenhouse/client_test.go
+++ b/internal/greenhouse/client_test.go
@@ -88,6 +88,10 @@
 				almanac.Why(lines, "9c41")
 				c.Look(ctx)
 			})
+			round("requests of the last minute, "+when, func() {
+				a := c.Asked(ctx)
+				t.Logf("%d of %d gates told", a.Gates, a.Ready)
+			})
 		}
 		all("first")
 		assert.Equal(t, len(v.Gates), 5**clientGates)
