--- /dev/null
+++ b/cmd/seedbed/main_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/conffile"
+	"pepperfall.example/pepperfall/internal/model"
+	"pepperfall.example/pepperfall/internal/weather"
+)
+
+// TestMain has this program be its own worker.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == "worker" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func call(t *testing.T, args ...string) (code int, out, err string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	code = Main(context.Background(), append([]string{"seedbed", "--jobs", "2"}, args...), &o, &e)
+	return code, o.String(), e.String()
+}
+
+// A day that is served is told with its worth; one that ends without power is cut down to that step and can be played
+// again; a hunt that was interrupted goes on where it was.
+func TestDays(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name string) string { return filepath.Join(dir, name) }
+	d := weather.Draw(weather.Mix{Nodes: 4, Seconds: 2, Load: 0.02}, 1)
+	d.Rest, d.Expect.LookS = 0, 1
+	assert.NilError(t, write(d, file("calm.toml")))
+	code, out, errs := call(t, "--json", "run", file("calm.toml"))
+	assert.Equal(t, code, 0, out+errs)
+	var r model.Result
+	assert.NilError(t, json.Unmarshal([]byte(out), &r))
+	assert.Assert(t, r.Wishes > 5 && r.Served == r.Wishes && r.Earned > 0.9 && r.Mail.Messages > 50 && len(r.Trace) == 16, "%+v", r)
+
+	d.Steps = []weather.Step{{At: 0.1, Do: "chill", Service: "pears"}, {At: 0.2, Do: "no-list", For: 0.2}, {At: 0.5, Do: "power-all", For: 3}}
+	d.Rate, d.Expect.Served = 20, 0.9
+	assert.NilError(t, write(d, file("dark.toml")))
+	code, out, errs = call(t, "shrink", "--times", "1", file("dark.toml"))
+	assert.Equal(t, code, 0, out+errs)
+	left, err := weather.Parse("left", []byte(out))
+	assert.NilError(t, err)
+	assert.Equal(t, len(left.Steps), 1)
+	assert.Equal(t, left.Steps[0].Do, "power-all")
+
+	args := []string{"hunt", "--nodes", "4", "--seconds", "1", "--troubles", "0", "--load", "0.02", "--results", file("found.jsonl")}
+	code, out, errs = call(t, append(args, "--seeds", "1")...)
+	assert.Equal(t, code, 0, out+errs)
+	f, err := os.OpenFile(file("found.jsonl"), os.O_APPEND|os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	_, err = f.WriteString(`{"name":"drawn-4-2","se`) // cut off
+	assert.NilError(t, err)
+	assert.NilError(t, f.Close())
+	code, out, errs = call(t, append(args, "--seeds", "2")...)
+	assert.Equal(t, code, 0, out+errs)
+	assert.Assert(t, strings.Contains(errs, "1 of 1 days, 0 broke"), errs)
+	text, err := conffile.Read(file("found.jsonl"))
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(text), "\n"), 2)
+
+	for _, bad := range [][]string{{"run"}, {"run", file("none.toml")}, {"hunt", "--only", "frost"}, {"hunt", "--nodes", "3"}, {"--jobs", "0", "run", file("calm.toml")}, {"shrink"}, {"run", "--what"}} {
+		code, _, errs := call(t, bad...)
+		assert.Equal(t, code, badInput, "%v: %s", bad, errs)
+	}
+}
--- a/internal/model/play.go
+++ b/internal/model/play.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	mostShown  = 6  // broken rules that are told in full
-	logLines   = 12 // of each process, where something is broken
-	mostLogs   = 64 << 10
+	mostShown = 6  // broken rules that are told in full
+	logLines  = 12 // of each process, where something is broken
+	mostLogs  = 64 << 10
 )
 
 // game is a day that is being played.
@@ -27,8 +27,8 @@
 	d    *weather.Day
 	jobs sync.WaitGroup
 
-	mu    sync.Mutex
-	load  float64 // times of the day's rate
+	mu   sync.Mutex
+	load float64 // times of the day's rate
 }
 
 // Play plays a day from its start to the judge's verdict. It has to run in a bubble of testing/synctest, which no other
--- a/internal/orchard/book.go
+++ b/internal/orchard/book.go
@@ -84,7 +84,7 @@
 	orders   []*order
 	terms    []term
 	breaks   []Break
-	lonely   []time.Time
+	lonely   []lone
 	last     []byte // configuration read back
 	read     bool
 	closing  span // from the closing fault until all machines are back; zero: there was none
@@ -133,10 +133,16 @@
 	b.terms = append(b.terms, term{n, at})
 }
 
-func (b *Book) homeless(wish) {
+// lone is a wish for which no gate was known.
+type lone struct {
+	at    time.Time
+	route string
+}
+
+func (b *Book) homeless(x wish) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lonely = append(b.lonely, time.Now())
+	b.lonely = append(b.lonely, lone{time.Now(), x.route.Name})
 }
 
 func (b *Book) sent(q *Request) {
--- a/internal/orchard/judge_test.go
+++ b/internal/orchard/judge_test.go
@@ -127,6 +127,16 @@
 		"cold":             {"FAILBACK", func(s *scene) { s.a.Cold = true; s.o.bounds.WarmupExcess = 1; s.more(2, 300*time.Millisecond) }},
 		"older at the end": {"LOST", func(s *scene) { s.next(time.Millisecond, func(*Word) {}); s.b.shown(s.w.Body()) }},
 		"none at the end":  {"CONFIG", func(s *scene) { s.b.shown(nil) }},
+		"not served again": {"RECOVER", func(s *scene) {
+			s.o.bounds.Recover = 15 * time.Second
+			s.b.closing = span{s.q.Sent.Add(time.Second), s.q.Sent.Add(2 * time.Second)}
+			s.more(4, 18*time.Second)
+		}},
+		"not served yet": {"", func(s *scene) {
+			s.o.bounds.Recover = 15 * time.Second
+			s.b.closing = span{s.q.Sent.Add(time.Second), s.q.Sent.Add(2 * time.Second)}
+			s.more(1, 16*time.Second)
+		}},
 		"denied": {"DENIED", func(s *scene) {
 			s.q.Status, s.q.Seal, s.q.Arrivals = 413, "", nil
 			for range 5 {
--- a/internal/orchard/tally.go
+++ b/internal/orchard/tally.go
@@ -24,8 +24,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := &Tally{}
-	for _, at := range b.lonely {
-		if !at.Before(from) && at.Before(to) {
+	for _, x := range b.lonely {
+		if !x.at.Before(from) && x.at.Before(to) {
 			t.Failed++
 		}
 	}
--- a/internal/orchard/worth.go
+++ b/internal/orchard/worth.go
@@ -53,24 +53,24 @@
 	var began time.Time
 	full := map[string]*store{}
 	for _, q := range b.all {
-		if q.Sent.Before(since) {
-			continue
-		}
-		if q.Probe {
+		counts := !q.Sent.Before(since)
+		switch {
+		case q.Probe:
 			f.Probes++
 			continue
-		}
-		f.Tries++
-		f.Further += max(0, len(q.Arrivals)-1)
-		if promised(q.Status) {
-			f.Refused++
+		case counts:
+			f.Tries++
+			f.Further += max(0, len(q.Arrivals)-1)
+			if promised(q.Status) {
+				f.Refused++
+			}
+			if began.IsZero() {
+				began = q.Sent
+			}
 		}
 		if q.First != nil {
 			continue
 		}
-		if began.IsZero() {
-			began = q.Sent
-		}
 		t, allowed := b.allows(q)
 		if !allowed {
 			continue
@@ -80,11 +80,11 @@
 			if name = t.Name; full[name] == nil {
 				full[name] = &store{left: t.Burst, at: q.Sent}
 			}
-			if t.Rate > 0 && !full[name].take(t, q.Sent) {
-				continue
-			}
 		}
 		w := worthOf(append([]*Request{q}, again[q]...), gain(q.Route))
+		if t != nil && t.Rate > 0 && !full[name].take(t, q.Sent, w.Served > 0) || !counts {
+			continue
+		}
 		f.All.add(w)
 		if w.Served > 0 {
 			f.Late = append(f.Late, lastOf(q, again).Ended.Sub(q.Sent))
@@ -101,6 +101,11 @@
 		}
 		f.Windows[at].add(w)
 	}
+	for _, x := range b.lonely {
+		if !x.at.Before(since) {
+			f.All.add(Worth{Owed: gain(x.route).Full, Wishes: 1})
+		}
+	}
 	slices.Sort(f.Late)
 	return f
 }
@@ -148,10 +153,12 @@
 	at   time.Time
 }
 
-func (s *store) take(t *Tenant, now time.Time) bool {
+// take tells whether a wish is owed. One beyond the limit that is served nevertheless takes the place of a later one: gates
+// can't know which of those that come at once are meant.
+func (s *store) take(t *Tenant, now time.Time, served bool) bool {
 	s.left = min(t.Burst, s.left+now.Sub(s.at).Seconds()*t.Rate)
 	s.at = now
-	if s.left < 1 {
+	if s.left < 1 && !served {
 		return false
 	}
 	s.left--
