--- a/cmd/seedbed/main.go
+++ b/cmd/seedbed/main.go
@@ -57,7 +57,7 @@
 			&cli.IntFlag{Name: "jobs", Usage: "days played at a time, each in a process with one processor", Value: runtime.NumCPU(), Destination: &a.jobs},
 			&cli.BoolFlag{Name: "json", Usage: "write results as JSON, one a line", Destination: &a.json},
 		},
-		Commands: []*cli.Command{a.run(), a.draw(), a.hunt(), a.shrink(), a.exact()},
+		Commands: []*cli.Command{a.run(), a.draw(), a.hunt(), a.shrink(), a.exact(), a.sweep(), a.compare(), a.plot()},
 	}
 	for _, c := range root.Commands {
 		c.OnUsageError = root.OnUsageError
--- a/cmd/seedbed/main_test.go
+++ b/cmd/seedbed/main_test.go
@@ -71,7 +71,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, strings.Count(string(text), "\n"), 2)
 
-	for _, bad := range [][]string{{"run"}, {"run", file("none.toml")}, {"hunt", "--only", "frost"}, {"hunt", "--nodes", "3"}, {"--jobs", "0", "run", file("calm.toml")}, {"shrink"}, {"run", "--what"}} {
+	args = []string{"--nodes", "4", "--seconds", "1", "--troubles", "0", "--load", "0.02", "--seeds", "1"}
+	code, out, errs = call(t, append([]string{"sweep", "--over", "lost", "--values", "0,0.1", "--out", file("sweep.jsonl")}, args...)...)
+	assert.Equal(t, code, 0, out+errs)
+	assert.Equal(t, strings.Count(out, "\n| "), len(model.Figures))
+	for _, kind := range []string{"sweep", "latency", "heat"} {
+		code, out, errs = call(t, "plot", "--kind", kind, "--figure", "p99_ms", "--out", file(kind+".svg"), file("sweep.jsonl"))
+		assert.Equal(t, code, 0, out+errs)
+		svg, err := conffile.Read(file(kind + ".svg"))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(string(svg), "</svg>"))
+	}
+
+	for _, bad := range [][]string{{"run"}, {"run", file("none.toml")}, {"hunt", "--only", "frost"}, {"hunt", "--nodes", "3"}, {"--jobs", "0", "run", file("calm.toml")}, {"shrink"}, {"run", "--what"},
+		{"sweep", "--over", "frost"}, {"sweep", "--values", "x"}, {"compare"}, {"plot", "--kind", "heat", file("calm.toml")}, {"plot", "--figure", "frost", file("sweep.jsonl")}} {
 		code, _, errs := call(t, bad...)
 		assert.Equal(t, code, badInput, "%v: %s", bad, errs)
 	}
--- a/cmd/seedbed/run.go
+++ b/cmd/seedbed/run.go
@@ -1,11 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -76,7 +76,7 @@
 					fmt.Fprintf(a.err, "%s: %d runs, %d different traces, the most frequent one %d times\n", name, times, len(traces[name]), most)
 				}
 				for _, k := range slices.Sorted(maps.Keys(rules)) {
-					fmt.Fprintf(a.err, "%6d %s\n", rules[k], strings.TrimSpace("broken: "+k))
+					fmt.Fprintf(a.err, "%6d %s\n", rules[k], cmp.Or(k, "nothing")+" broken")
 				}
 			}
 			return verdict(wrong, times*len(days))
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -32,12 +32,13 @@
 	Tries   int                `json:"tries"`
 	Refused int                `json:"refused"`
 	Further int                `json:"further"`
-	Earned  float64            `json:"earned"` // of the worth that was owed
-	Served1 float64            `json:"served_share"`
+	Earned  float64            `json:"earned"`       // of the worth that was owed
+	Share   float64            `json:"served_share"` // of the wishes
 	Worst   float64            `json:"worst_window"`
 	Routes  map[string]float64 `json:"routes"` // parts of the worth earned
 	Zones   map[string]float64 `json:"zones"`
 	Tenants map[string]float64 `json:"tenants"`
+	Cells   map[string]float64 `json:"cells"` // by TENANT/ZONE
 	Lists   int                `json:"list_calls"`
 	Mail    Mail               `json:"mail"`
 
@@ -93,7 +94,7 @@
 	r.Wishes, r.Served, r.Tries, r.Refused, r.Further = f.All.Wishes, f.All.Served, f.Tries, f.Refused, f.Further
 	r.Earned, r.Worst = f.All.Part(), 1
 	if r.Wishes > 0 {
-		r.Served1 = float64(r.Served) / float64(r.Wishes)
+		r.Share = float64(r.Served) / float64(r.Wishes)
 	}
 	for _, w := range f.Windows {
 		if w.Wishes >= leastInWindow {
@@ -107,7 +108,7 @@
 		}
 		return out
 	}
-	r.Routes, r.Zones, r.Tenants = parts(f.Routes), parts(f.Zones), parts(f.Tenants)
+	r.Routes, r.Zones, r.Tenants, r.Cells = parts(f.Routes), parts(f.Zones), parts(f.Tenants), parts(f.Cells)
 	h := NewTook()
 	for _, t := range f.Late {
 		_ = h.RecordValue(max(1, t.Microseconds()))
--- a/internal/orchard/worth.go
+++ b/internal/orchard/worth.go
@@ -30,6 +30,7 @@
 type Fortune struct {
 	All                     Worth
 	Routes, Zones, Tenants  map[string]*Worth // zones: the clients'
+	Cells                   map[string]*Worth // by TENANT/ZONE
 	Windows                 []Worth           // by ten seconds since the first request
 	Late                    []time.Duration   // what those served took, from the first try, in order
 	Probes                  int
@@ -43,7 +44,7 @@
 func (b *Book) Fortune(since time.Time, gain func(route string) Gain) *Fortune {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	f := &Fortune{Routes: map[string]*Worth{}, Zones: map[string]*Worth{}, Tenants: map[string]*Worth{}}
+	f := &Fortune{Routes: map[string]*Worth{}, Zones: map[string]*Worth{}, Tenants: map[string]*Worth{}, Cells: map[string]*Worth{}}
 	again := map[*Request][]*Request{}
 	for _, q := range b.all {
 		if q.First != nil {
@@ -89,7 +90,7 @@
 		if w.Served > 0 {
 			f.Late = append(f.Late, lastOf(q, again).Ended.Sub(q.Sent))
 		}
-		for m, k := range map[*map[string]*Worth]string{&f.Routes: q.Route, &f.Zones: q.Zone, &f.Tenants: name} {
+		for m, k := range map[*map[string]*Worth]string{&f.Routes: q.Route, &f.Zones: q.Zone, &f.Tenants: name, &f.Cells: name + "/" + q.Zone} {
 			if (*m)[k] == nil {
 				(*m)[k] = &Worth{}
 			}
