--- a/cmd/seedbed/run.go
+++ b/cmd/seedbed/run.go
@@ -1,11 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -13,6 +13,18 @@
 	"pepperfall.example/pepperfall/internal/weather"
 )
 
+// exact builds the program that plays equal days alike.
+func (a *app) exact() *cli.Command {
+	var out string
+	return &cli.Command{
+		Name: "exact", Usage: "builds, in this module's folder, the program that plays equal days alike",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "out", Usage: "`FILE` of the program", Value: "bin/seedbed-exact", Destination: &out}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return model.BuildExact(ctx, "./cmd/seedbed", out)
+		},
+	}
+}
+
 // run plays days from files.
 func (a *app) run() *cli.Command {
 	var times int
@@ -64,7 +76,7 @@
 					fmt.Fprintf(a.err, "%s: %d runs, %d different traces, the most frequent one %d times\n", name, times, len(traces[name]), most)
 				}
 				for _, k := range slices.Sorted(maps.Keys(rules)) {
-					fmt.Fprintf(a.err, "%6d %s\n", rules[k], strings.TrimSpace("broken: "+k))
+					fmt.Fprintf(a.err, "%6d %s\n", rules[k], cmp.Or(k, "nothing")+" broken")
 				}
 			}
 			return verdict(wrong, times*len(days))
