--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/drove"
 	"pepperfall.example/pepperfall/internal/winnow"
 )
 
@@ -72,6 +73,7 @@
 	Parts   int           // in how many parts the gate divides quotas, in force there; 0: not told
 	Figures *Figures      // gate to hand, and to a barn that wants them
 	Asked   *Asked        // the same, every few seconds; nil: as told last
+	Heads   []drove.Heads // traffic by host, where some routes are bound and some are free; to barns now and then. nil: not told
 }
 
 // Pong answers a Ping. What it tells holds at the moment it was sent, which is
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -151,7 +151,7 @@
 func (g *Gate) tells() *furrow.Ping {
 	f := g.estate.Figures()
 	return &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(),
-		Parts: int(g.parts.Load()), Figures: (*furrow.Figures)(&f)}
+		Parts: int(g.parts.Load()), Figures: (*furrow.Figures)(&f), Heads: g.estate.Heads()}
 }
 
 // asked tells the hand what was asked for lately, by route.
--- a/internal/hand/barn.go
+++ b/internal/hand/barn.go
@@ -15,6 +15,9 @@
 // acknowledgement holds for them too.
 const mostMarks = 1024
 
+// headsEvery is the time between two tellings of requests by host to one barn.
+const headsEvery = 4 * time.Second
+
 // mark says that what came or went with a number is in the state since a revision.
 type mark struct{ no, rev uint64 }
 
@@ -44,6 +47,7 @@
 	asks   bool          // and what was asked for
 	asked  *furrow.Asked // as told last
 	reap   uint64        // evidence on servers, as it said last; 0: none
+	heads  time.Duration // when it was last told of requests by host; 0: not on this connection
 
 	servers *furrow.Servers // as told on this connection
 	census  *furrow.Census
@@ -97,7 +101,7 @@
 	}
 	h.mu.Lock()
 	b.conn, b.marks, b.spoke, b.every, b.wants, b.reap, b.servers, b.census, b.verdicts = c, nil, false, 0, false, 0, nil, nil, nil
-	b.asks, b.asked = false, nil
+	b.asks, b.asked, b.heads = false, nil, 0
 	if h.leaving != "" {
 		b.send(&furrow.Frame{Leaving: &h.leaving})
 	}
@@ -251,6 +255,9 @@
 			b.asked = h.gate.asked
 			p.Asked = b.asked
 		}
+		if len(h.gate.heads) > 0 && (b.heads == 0 || p.Sent-b.heads >= headsEvery) {
+			p.Heads, b.heads = h.gate.heads, max(p.Sent, 1)
+		}
 	}
 	if b.conn != nil && b.every != p.Every {
 		b.every = p.Every
--- a/internal/hand/gate.go
+++ b/internal/hand/gate.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"pepperfall.example/pepperfall/internal/drove"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/winnow"
 )
@@ -18,6 +19,7 @@
 	rests   bool // it would be, but for the order to rest
 	figures *furrow.Figures
 	asked   *furrow.Asked
+	heads   []drove.Heads
 	gen     uint64        // in force there; 0: none
 	parts   int           // by which it divides quotas; 0: not told
 	no      uint64        // of the last change sent
@@ -118,7 +120,7 @@
 	}
 	ready, rests := g.ready, g.rests
 	if p := f.Ping; p != nil {
-		ready, rests, g.gen, g.figures, g.parts = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures, p.Parts
+		ready, rests, g.gen, g.figures, g.heads, g.parts = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures, p.Heads, p.Parts
 		if p.Asked != nil {
 			g.asked = p.Asked
 		}
