--- a/internal/bookfile/bookfile_test.go
+++ b/internal/bookfile/bookfile_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"fmt"
 	"reflect"
 	"testing"
@@ -13,6 +14,9 @@
 	"pepperfall.example/pepperfall/internal/routebook"
 )
 
+// What is drawn is the same in every run, unless -rapid.seed says otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 func routeOf(i int) routebook.Route {
 	return routebook.Route{Operation: fmt.Sprint("op", i), Method: "GET", Template: fmt.Sprintf("/v1/things%d({id})/{part}.json", i), Class: "holdings-lookup",
 		Units: routebook.Units{Base: 1, Param: "limit", Per: 10, Each: 0.5, Most: 6}, Repeat: routebook.Keyed, Deadline: 750 * time.Millisecond,
--- a/internal/members/message_test.go
+++ b/internal/members/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"fmt"
 	"net/netip"
 	"reflect"
@@ -12,6 +13,9 @@
 	"pgregory.net/rapid"
 )
 
+// What is drawn is the same in every run, unless -rapid.seed says otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 func drawMessage(t *rapid.T) *message {
 	u8, u16, u32 := rapid.Byte(), rapid.Uint16(), rapid.Uint32()
 	name := rapid.Map(u16, func(n uint16) Name { return Name(n) })
--- a/internal/rollout/random_test.go
+++ b/internal/rollout/random_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,9 @@
 	"pgregory.net/rapid"
 )
 
+// What is drawn is the same in every run, unless -rapid.seed says otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // machine is a plain model of the processes that a planner drives.
 type machine struct {
 	running bool
--- a/internal/routebook/book_test.go
+++ b/internal/routebook/book_test.go
@@ -1,6 +1,7 @@
 package routebook
 
 import (
+	"flag"
 	"fmt"
 	"regexp"
 	"slices"
@@ -10,6 +11,9 @@
 	"pgregory.net/rapid"
 )
 
+// What is drawn is the same in every run, unless -rapid.seed says otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 func route(name, m, template string) Route {
 	return Route{Operation: name, Method: m, Template: template, Class: "c", Units: Units{Base: 1, Most: 1}, Place: "f:1"}
 }
--- a/internal/routing/read_test.go
+++ b/internal/routing/read_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -13,6 +14,9 @@
 	"pepperfall.example/pepperfall/policy"
 )
 
+// What is drawn is the same in every run, unless -rapid.seed says otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 var settings = policy.Settings{Gateways: 4, LargestUnits: 6,
 	Classes: []policy.Class{{Name: "holdings-lookup", Deadline: time.Second, Effect: policy.Safe},
 		{Name: "loan-request", Deadline: 4 * time.Second, Effect: policy.Keyed, Window: 2500 * time.Millisecond}},
--- a/internal/winnow/winnow_test.go
+++ b/internal/winnow/winnow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"flag"
 	"fmt"
 	"reflect"
 	"testing"
@@ -12,6 +13,9 @@
 	"pgregory.net/rapid"
 )
 
+// What is drawn is the same in every run, unless -rapid.seed says otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // yard is a fleet of gates in three zones, two services of servers, and one floor that hears all gates each second.
 type yard struct {
 	floor   *Floor
--- a/policy/field_test.go
+++ b/policy/field_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +12,9 @@
 	"pgregory.net/rapid"
 )
 
+// What is drawn is the same in every run, and less than usual; -rapid.seed and -rapid.checks say otherwise.
+func init() { _, _ = flag.Set("rapid.seed", "1"), flag.Set("rapid.checks", "40") }
+
 // fieldSet are the settings of a gateway of many services before it is told anything.
 func fieldSet() Settings {
 	return Settings{Gateways: 1, Zone: "a", Resolution: ms, CanCancel: true, CanTell: true, MailPerSecond: 40,
