--- a/internal/harvest/explore_test.go
+++ b/internal/harvest/explore_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	born  Life
 	mail  []Letter // to the takers 1 and 2, and to the giver as 0
 	from  []int
+	texts []string       // what tells letters apart
 	held  int            // waiting at the giver for an answer
 	kept  int            // units that it kept for them
 	hands map[uint64]int // in how many hands each share has been that may have used it
@@ -71,6 +73,7 @@
 		c.t[i] = &x
 	}
 	c.mail, c.from, c.hands = slices.Clone(f.mail), slices.Clone(f.from), maps.Clone(f.hands)
+	c.texts = slices.Clone(f.texts)
 	return &c
 }
 
@@ -85,20 +88,15 @@
 	for _, t := range f.t {
 		s += fmt.Sprint(t.Life, t.Leaving, t.givers)
 	}
-	mail := make([]string, len(f.mail))
-	for i, m := range f.mail {
-		mail[i] = fmt.Sprint(f.from[i], m.To, *m.Message)
-	}
-	slices.Sort(mail)
-	return s + fmt.Sprint(mail)
+	return s + strings.Join(slices.Sorted(slices.Values(f.texts)), "|")
 }
 
 func (f *field) post(from, to int, m *Message) {
-	for i, o := range f.mail {
-		if f.from[i] == from && o.To == to && fmt.Sprint(*o.Message) == fmt.Sprint(*m) {
-			return
-		}
+	text := fmt.Sprint(from, to, *m)
+	if slices.Contains(f.texts, text) {
+		return
 	}
+	f.texts = append(f.texts, text)
 	f.mail, f.from = append(f.mail, Letter{to, m}), append(f.from, from)
 }
 
