--- a/internal/barn/random_test.go
+++ b/internal/barn/random_test.go
@@ -18,7 +18,10 @@
 	"pepperfall.example/pepperfall/internal/sim"
 )
 
-var seeds = flag.Uint64("barn.seeds", 4, "how many random days are played")
+var (
+	firstSeed = flag.Uint64("barn.first", 4, "the first random day's seed")
+	seeds     = flag.Uint64("barn.seeds", 4, "how many random days are played")
+)
 
 // ledger is what operators have seen: nothing may be older than what had been
 // acknowledged before it was asked for.
@@ -167,7 +170,7 @@
 
 func TestRandomDays(t *testing.T) {
 	t.Parallel()
-	for seed := range *seeds {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(strconv.FormatUint(uint64(seed), 10), func(t *testing.T) {
 			t.Parallel()
 			n := 3 + int(seed)%3
