--- a/policy/choose.go
+++ b/policy/choose.go
@@ -213,15 +213,6 @@
 	return g.byWeight(ok, least)
 }
 
-// watchers names the gateways that judge a server: in a small fleet each judges for itself.
-func (g *Gateway) watchers(h uint32) [2]int {
-	if !g.tree {
-		return [2]int{g.set.Me, g.set.Me}
-	}
-	n := uint32(g.set.Gateways)
-	return [2]int{int(h % n), int((h + 1) % n)}
-}
-
 // prefer sets a server's part in this gateway's draws. A large fleet's gateways go mostly to a few
 // servers each, so that connections are used again; all together go to each server alike.
 func (g *Gateway) prefer(s *server) {
--- a/policy/mail.go
+++ b/policy/mail.go
@@ -18,24 +18,6 @@
 	return float64(len(c.held)) + units + untold*float64(g.ticks-c.told)
 }
 
-// roots are the gateways that sum a customer's counts: as few as can take in what its gateways ask
-// of them, all where reports go from all to all. The deputy steps in for a root that is silent.
-func (g *Gateway) roots(c *customer) (nums []int, deputy int) {
-	k := c.spread
-	if g.tree {
-		asks := rootPeak * c.plan.Rate * 2 / (1 + g.set.LargestUnits)
-		k = min(max(1, int(math.Ceil(asks/max(1, g.set.MailPerSecond*rootMail)))), c.spread)
-	}
-	base, step := int(c.key>>33)%c.spread, max(1, c.spread/(k+1))
-	for i := range k + 1 {
-		deputy = (c.first + (base+i*step)%c.spread) % g.set.Gateways
-		if i < k {
-			nums = append(nums, deputy)
-		}
-	}
-	return nums, deputy
-}
-
 // ask sends a request to the customer's root, again if that or the answer is lost, and then to the
 // deputy. Where none answers, or nobody was heard for long, this gateway decides alone.
 func (g *Gateway) ask(r *request) {
