--- a/internal/node/estate_test.go
+++ b/internal/node/estate_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -381,3 +382,27 @@
 		}
 	})
 }
+
+// A server that falls silent is not given up for another before a quarter of the request's aim, however fast all others
+// answer: what is cut sooner counts as never offered.
+func TestSilenceIsBorneForAQuarterOfTheAim(t *testing.T) {
+	play(t, false, func(r *rig) {
+		at := make(chan time.Time, 2)
+		r.acts = slices.Repeat([]act{served}, 60)
+		r.acts = append(r.acts, func(c net.Conn, q *standin.Request) bool {
+			at <- time.Now()
+			time.Sleep(5 * time.Second)
+			return false
+		}, func(c net.Conn, q *standin.Request) bool {
+			at <- time.Now()
+			return served(c, q)
+		})
+		r.tell()
+		for range 61 {
+			assert.Equal(t, r.ask("/get/", "").StatusCode, 200)
+		}
+		first := <-at
+		waited := (<-at).Sub(first)
+		assert.Assert(t, waited > 200*time.Millisecond && waited < 800*time.Millisecond, "%v", waited) // of 800
+	})
+}
--- a/internal/orchard/loss_test.go
+++ b/internal/orchard/loss_test.go
@@ -74,6 +74,49 @@
 	}
 }
 
+// In the middle of a day all of the core is killed, or loses its power, right after orders were acknowledged: gates go
+// on, and all that was acknowledged is there and in force when it is back.
+func TestCoreGoneInMidDay(t *testing.T) {
+	t.Parallel()
+	for _, power := range []bool{false, true} {
+		Play(t, usual(), func(o *House) {
+			o.Pass(contact)
+			w := moved(o.Word())
+			began := time.Now()
+			o.Replace(w)
+			assert.Assert(t, o.Operator.Drain("north-b", true))
+			if power {
+				o.PowerOff(o.Cores()...)
+			} else {
+				for _, n := range o.Cores() {
+					o.Stop(n, Barn)
+				}
+			}
+			o.Pass(time.Second)
+			if power {
+				o.PowerOn(o.Cores()...)
+			} else {
+				for _, n := range o.Cores() {
+					o.Start(n, Barn)
+				}
+			}
+			back := time.Now()
+			for _, n := range o.Cores() {
+				o.Await(recovers/3-time.Since(back), "configuration", func() bool {
+					status, body := o.Operator.Show(n)
+					return status == 200 && bytes.Equal(body, w.Body())
+				})
+			}
+			o.Pass(contact)
+			o.Served(began, 0.95)
+			last := o.Book.LastAt(back, func(s *Server) bool { return s.Zone == "north-b" })
+			assert.Assert(t, last.IsZero(), "drained %v, reached %v later", back, last.Sub(back))
+			assert.Assert(t, o.Operator.Drain("north-b", false))
+			o.Pass(time.Second)
+		})
+	}
+}
+
 // A barn that has lost its disk does not make up a majority with one that was away.
 func TestWipedBarnDoesNotVouch(t *testing.T) {
 	t.Parallel()
