Write down why a request failed

Cause: a verdict's cause ended with its request: what lay behind a 502 or 504 could not be read anywhere.

Change: a gate's ring has a line for each request that may have run and got no server's answer, with the id and the last verdict that may have run.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -17,6 +17,7 @@
 	"pepperfall.example/pepperfall/internal/harvest"
 	"pepperfall.example/pepperfall/internal/node"
 	"pepperfall.example/pepperfall/internal/plot"
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 )
 
@@ -49,6 +50,9 @@
 	g := &Gate{set: s, w: w, log: log, start: now, life: now.UnixNano(), zones: map[string]furrow.Zone{}}
 	cfg := estateOf(s, w, uint64(now.UnixNano()))
 	cfg.Given = g.given
+	cfg.Failed = func(id string, why verdict.Verdict) {
+		log.V(1).Info("request failed", "attempt", id, "why", why.Error())
+	}
 	e, err := node.NewEstate(cfg)
 	if err != nil {
 		return nil, err
--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -15,6 +15,7 @@
 	"pepperfall.example/pepperfall/internal/grove"
 	"pepperfall.example/pepperfall/internal/harvest"
 	"pepperfall.example/pepperfall/internal/plot"
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -56,6 +57,8 @@
 	WarmupExcess, WarmupSlack float64
 	ListLag                   time.Duration
 
+	Failed func(id string, why verdict.Verdict) // of a request that may have run and got no server's answer; nil: nobody is told
+
 	Given func(units, of int) // its parts of quotas are others' from now on; so many units were taken over. nil: nobody asks
 }
 
@@ -92,7 +95,7 @@
 	field.RetryCap = e.retryCap
 	e.estate = &estate{clock: clk, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x657374))}
 	e.estate.freshFor.Store(int64(freshFor(&cfg)))
-	n.server.estate, n.server.over = e.estate, n.loop.over
+	n.server.estate, n.server.over, n.server.failed = e.estate, n.loop.over, cfg.Failed
 	if n.peers, err = listenPeers(w, cfg.Peer, nil, netip.AddrPort{}, func(from int, data []byte) {
 		select {
 		case n.loop.events <- policy.PeerMessage{From: from, Data: data}:
--- a/internal/node/passing.go
+++ b/internal/node/passing.go
@@ -295,6 +295,9 @@
 		s.up.flow(&cc.req.estate.front, t.held, &r)
 		return r.whole && !cc.req.estate.over
 	}
+	if t.Ran() && s.failed != nil {
+		s.failed(cc.req.estate.id, t.Last())
+	}
 	return s.own(cc, t.GivenUp(cmd.over, cmd.late, cmd.retryAfter))
 }
 
--- a/internal/node/retune.go
+++ b/internal/node/retune.go
@@ -32,7 +32,7 @@
 		old := e.cfg
 		e.cfg = cfg
 		e.cfg.Listen, e.cfg.Peer, e.cfg.Zone, e.cfg.Region, e.cfg.Seed, e.cfg.Sockets, e.cfg.World = old.Listen, old.Peer, old.Zone, old.Region, old.Seed, old.Sockets, old.World
-		e.cfg.Given = old.Given
+		e.cfg.Given, e.cfg.Failed = old.Given, old.Failed
 		e.estate.freshFor.Store(int64(freshFor(&cfg)))
 		e.field.RetryEarn = cfg.RetryRatio * budgetPart
 		e.grove.Retell(groveTerms(&cfg))
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -51,9 +51,10 @@
 	reuse  reuse
 
 	booked booked
-	watch  *watch          // nil: no view of the fleet is kept
-	estate *estate         // nil: the platform's wire is spoken
-	counts counts          // an estate's
+	watch  *watch  // nil: no view of the fleet is kept
+	estate *estate // nil: the platform's wire is spoken
+	counts counts  // an estate's
+	failed func(id string, why verdict.Verdict)
 	over   <-chan struct{} // closed when an estate's loop has ended
 }
 
--- a/internal/verdict/course.go
+++ b/internal/verdict/course.go
@@ -17,12 +17,16 @@
 }
 
 // Add takes in how an attempt ended.
-func (c *Course) Add(v Verdict) { c.ran, c.last = c.ran || !v.Run().Never(), v }
+func (c *Course) Add(v Verdict) {
+	if ran := !v.Run().Never(); ran || !c.ran {
+		c.ran, c.last = ran, v
+	}
+}
 
 // Ran reports whether it has run or may have.
 func (c *Course) Ran() bool { return c.ran }
 
-// Last is how the last attempt ended.
+// Last is how the last attempt ended that may have run; where none may, the last of all.
 func (c *Course) Last() Verdict { return c.last }
 
 // Own is an answer of the system's own. It has no exported maker but a Course's: so none with 408, 421, 429 or 503 is
