Send clients to gates that leave where no other is ready

Ruled out: the gates' doors, which shut at half of the grace as meant.

Change: where no gate is ready, dir names those that leave until half of their grace is over, unless they have given up their parts.

--- a/internal/barn/census.go
+++ b/internal/barn/census.go
@@ -155,20 +155,25 @@
 }
 
 // fronts are the addresses in some regions, or all where these have no gate
-// that is ready. One that has just joined is in a rising part of places' answers.
+// that is ready. One that has just joined is in a rising part of places' answers. Where no gate at all is ready, those
+// that leave are better than none for as long as their doors are open.
 func (r *register) fronts(regions []string, place string, now time.Duration) []string {
-	var near, all []*gate
+	var all, last []*gate
 	for _, n := range r.names() {
-		g := r.gates[n]
-		if !g.ready || g.left > 0 || r.rests[n] || g.hello.Front == "" || !g.alive(now) {
-			continue
-		}
-		all = append(all, g)
-		if slices.Contains(regions, g.hello.Region) {
-			near = append(near, g)
+		switch g := r.gates[n]; {
+		case g.hello.Front == "" || !g.alive(now):
+		case g.left > 0:
+			if !g.given && harvest.Open(g.grace, now-g.left) {
+				last = append(last, g)
+			}
+		case g.ready && !r.rests[n]:
+			all = append(all, g)
 		}
 	}
-	if len(near) > 0 {
+	if len(all) == 0 {
+		all = last
+	}
+	if near := slices.DeleteFunc(slices.Clone(all), func(g *gate) bool { return !slices.Contains(regions, g.hello.Region) }); len(near) > 0 {
 		all = near
 	}
 	young := 0
--- a/internal/barn/join_test.go
+++ b/internal/barn/join_test.go
@@ -124,3 +124,28 @@
 	assert.Equal(t, silent("c", 0), 0)
 	assert.Equal(t, silent("d", 0), 2)
 }
+
+// Where every gate leaves at once, clients are sent to those whose doors are still open, and to nobody behind a shut one.
+func TestLeaversAreBetterThanNone(t *testing.T) {
+	r := newRegister(nil, 0)
+	at := time.Second
+	for _, n := range []string{"a", "b"} {
+		join(r, n, at)
+	}
+	at += 10 * time.Second
+	hearAll(r, at)
+	leave := func(n string) {
+		r.gates[n].left, r.gates[n].grace, r.gates[n].ready = at, 6*time.Second, false
+	}
+	leave("a")
+	assert.DeepEqual(t, r.fronts([]string{"r"}, "p", at), []string{"b"})
+	leave("b")
+	assert.DeepEqual(t, r.fronts([]string{"r"}, "p", at), []string{"a", "b"})
+	at += 2 * time.Second
+	hearAll(r, at)
+	r.gates["a"].given = true
+	assert.DeepEqual(t, r.fronts([]string{"r"}, "p", at), []string{"b"})
+	at += time.Second
+	hearAll(r, at)
+	assert.Equal(t, len(r.fronts([]string{"r"}, "p", at)), 0)
+}
--- a/internal/harvest/leave.go
+++ b/internal/harvest/leave.go
@@ -26,6 +26,9 @@
 	Ended
 )
 
+// Open tells whether the door of a gate that began to leave so long ago is open for certain.
+func Open(grace, past time.Duration) bool { return past < grace/doorPart }
+
 // Facts are what a leave goes by.
 type Facts struct {
 	Open   int           // clients' connections
