--- a/internal/barn/hands.go
+++ b/internal/barn/hands.go
@@ -6,7 +6,9 @@
 	"slices"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/drove"
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // hand is an open connection to a hand.
@@ -25,6 +27,9 @@
 
 	list   *furrow.Servers // as told last; nil: not told. Shared with others
 	census *furrow.Census  // the same
+
+	verdicts *winnow.Verdicts // as told last; nil: not told
+	seat     uint64           // tells this connection from others
 }
 
 // change sends numbered news; the barn's mutex is held.
@@ -39,6 +44,7 @@
 	h := &hand{conn: c, name: hello.Name, life: hello.Life}
 	b.mu.Lock()
 	b.hands[h] = true
+	h.seat = b.fit.seat()
 	b.arrive(*hello)
 	h.change(&furrow.Change{Zones: b.orders(h.name)}) // its first Ping tells whether it lacks the configuration
 	b.owe(h)
@@ -122,22 +128,32 @@
 			b.stirred()
 		}
 		g.rests = p.Rests
+		if p.Parts > 0 {
+			g.parts = p.Parts
+		}
 		if p.Figures != nil {
 			g.figures, g.figuresAt = p.Figures, now
 		}
 		if p.Asked != nil {
 			g.asked, g.askedAt = p.Asked, now
 		}
+		if p.Heads != nil {
+			g.heads, g.headsAt = p.Heads[:min(len(p.Heads), drove.MostHosts)], now
+		}
 		h.held, h.sum = p.Held, p.Sum
 		b.pay(h, p.Lead)
 		// Word is fresh where the newest is in force: it may still be on its way there.
-		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot), Want: now < b.ops.wants, Asks: now < b.ops.asks}
+		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot), Want: now < b.ops.wants, Asks: now < b.ops.asks,
+			Reap: b.fit.reap(h)}
 		if b.ever {
 			pong.Age = now - b.fresh
 		}
 		_ = h.conn.Send(&furrow.Frame{Pong: pong})
 		b.lead(h, p.Lead)
 	}
+	if f.Sheaf != nil && h.lead {
+		b.sheaf(h, f.Sheaf)
+	}
 	if a := f.Ack; a != nil {
 		h.ack, h.gen = max(h.ack, a.No), a.Gen
 	}
--- a/internal/barn/operators.go
+++ b/internal/barn/operators.go
@@ -17,6 +17,7 @@
 
 	"pepperfall.example/pepperfall/api"
 	"pepperfall.example/pepperfall/internal/granary"
+	"pepperfall.example/pepperfall/internal/plot"
 	"pepperfall.example/pepperfall/internal/silo"
 )
 
@@ -101,18 +102,23 @@
 		}
 		o.Why = o.Why[:min(len(o.Why), api.MostLine)]
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.keepOrder(o)
+	return err
+}
+
+// keepOrder keeps an order, or a verdict, and has it written down; the mutex is held.
+func (b *Barn) keepOrder(o api.Order) {
 	if b.ops.note != nil {
 		b.ops.note(o)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if len(b.ops.orders) < api.MostOrders {
 		b.ops.orders = append(b.ops.orders, o)
 	} else {
 		b.ops.orders[b.ops.next%api.MostOrders] = o
 	}
 	b.ops.next++
-	return err
 }
 
 // genOf is the version that a body says it is, for the history only.
@@ -215,7 +221,8 @@
 	if l := b.ops.lease; l.until > now {
 		s.Lock = api.LockView{Who: l.lock.Who, Since: time.Unix(0, l.lock.Since).UTC(), LeftMS: (l.until - now).Milliseconds()}
 	}
-	s.Duties = []api.Duty{{Name: listDuty, Holder: b.steward.Known().Holder.Name, Rank: b.steward.Rank(b.view())}}
+	d := b.steward.Known()
+	s.Duties = []api.Duty{{Name: listDuty, Holder: d.Holder.Name, Next: d.Next.Name, Epoch: d.Term.Epoch, Step: d.Term.Step, Rank: b.steward.Rank(b.view())}}
 	s.List = b.listView(now)
 	return s
 }
@@ -256,6 +263,7 @@
 		v.Lags = lags(v, g, s.Confirmed.Gen)
 		s.Gates = append(s.Gates, v)
 	}
+	s.Versions = plot.VersionsAt(slices.Values(s.Gates))
 	for _, n := range names {
 		if b.gates.gates[n].counts(now) {
 			s.Shares++
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -17,6 +17,7 @@
 	"pepperfall.example/pepperfall/internal/harvest"
 	"pepperfall.example/pepperfall/internal/node"
 	"pepperfall.example/pepperfall/internal/plot"
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 )
 
@@ -41,7 +42,9 @@
 	held  *furrow.Plot           // in force
 	zones map[string]furrow.Zone // orders in force: a hand that starts anew may first hear of older ones
 	gen   atomic.Uint64
+	parts atomic.Int64 // by which quotas are divided
 	conn  atomic.Pointer[furrow.Conn]
+	fit   fit
 }
 
 // New opens a proxy's sockets.
@@ -50,6 +53,9 @@
 	g := &Gate{set: s, w: w, log: log, start: now, life: now.UnixNano(), zones: map[string]furrow.Zone{}}
 	cfg := estateOf(s, w, uint64(now.UnixNano()))
 	cfg.Given = g.given
+	cfg.Failed = func(id string, why verdict.Verdict) {
+		log.V(1).Info("request failed", "attempt", id, "why", why.Error())
+	}
 	e, err := node.NewEstate(cfg)
 	if err != nil {
 		return nil, err
@@ -133,6 +139,7 @@
 		if p := f.Pong; p != nil && p.Fresh {
 			g.estate.Confirm(g.now() - p.Sent + p.Age)
 		}
+		g.fit.hears(f, g.now())
 		if ch := f.Change; ch != nil {
 			g.take(ch)
 			if err := c.Send(&furrow.Frame{Ack: &furrow.Ack{No: ch.No, Gen: g.gen.Load()}}); err != nil {
@@ -147,7 +154,8 @@
 
 func (g *Gate) tells() *furrow.Ping {
 	f := g.estate.Figures()
-	return &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(), Figures: (*furrow.Figures)(&f)}
+	return &furrow.Ping{Sent: g.now(), Ready: g.estate.Ready(), Rests: g.estate.Rests(), Gen: g.gen.Load(),
+		Parts: int(g.parts.Load()), Figures: (*furrow.Figures)(&f), Heads: g.estate.Heads()}
 }
 
 // asked tells the hand what was asked for lately, by route.
@@ -173,6 +181,9 @@
 			return
 		}
 		g.settle()
+		if g.set.Judge.Records {
+			g.judges(c)
+		}
 	}
 }
 
@@ -235,6 +246,7 @@
 }
 
 func (g *Gate) meet(s *furrow.Census) {
+	g.fit.meets(s.Gates)
 	me := slices.IndexFunc(s.Gates, func(m furrow.Member) bool { return m.Hello.Name == g.set.Self.Name })
 	if me < 0 {
 		return // control doesn't know of this one yet
@@ -263,6 +275,7 @@
 		}
 	}
 	g.estate.Peers(s.Gates[me].Slot, s.Shares, less, at, regions)
+	g.parts.Store(int64(s.Shares)) // it holds no more than its part of so many from here on
 }
 
 const maxSlot = 1 << 12 // proxies ever known
--- a/internal/hand/barn.go
+++ b/internal/hand/barn.go
@@ -8,12 +8,16 @@
 	"github.com/pkg/errors"
 
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // mostMarks bounds what waits for the gate. The oldest go first: a later
 // acknowledgement holds for them too.
 const mostMarks = 1024
 
+// headsEvery is the time between two tellings of requests by host to one barn.
+const headsEvery = 4 * time.Second
+
 // mark says that what came or went with a number is in the state since a revision.
 type mark struct{ no, rev uint64 }
 
@@ -42,9 +46,13 @@
 	wants  bool          // figures, as it said last
 	asks   bool          // and what was asked for
 	asked  *furrow.Asked // as told last
+	reap   uint64        // evidence on servers, as it said last; 0: none
+	heads  time.Duration // when it was last told of requests by host; 0: not on this connection
 
 	servers *furrow.Servers // as told on this connection
 	census  *furrow.Census
+
+	verdicts *winnow.Verdicts
 }
 
 func (b *barn) send(f *furrow.Frame) {
@@ -92,8 +100,8 @@
 		return errors.Errorf("hand: %s at %s is no barn but %q", o.Name, b.addr, o.Role)
 	}
 	h.mu.Lock()
-	b.conn, b.marks, b.spoke, b.every, b.wants, b.servers, b.census = c, nil, false, 0, false, nil, nil
-	b.asks, b.asked = false, nil
+	b.conn, b.marks, b.spoke, b.every, b.wants, b.reap, b.servers, b.census, b.verdicts = c, nil, false, 0, false, 0, nil, nil, nil
+	b.asks, b.asked, b.heads = false, nil, 0
 	if h.leaving != "" {
 		b.send(&furrow.Frame{Leaving: &h.leaving})
 	}
@@ -110,7 +118,7 @@
 	defer func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		b.conn, b.seen = nil, h.now()
+		b.conn, b.reap, b.seen = nil, 0, h.now()
 		h.lead.Down(b.addr)
 		h.choose()
 	}()
@@ -152,7 +160,7 @@
 		h.acknowledge(b)
 	}
 	if f.Pong != nil {
-		if b.wants, b.asks = f.Pong.Want, f.Pong.Asks; !b.asks {
+		if b.wants, b.asks, b.reap = f.Pong.Want, f.Pong.Asks, f.Pong.Reap; !b.asks {
 			b.asked = nil // one who asks anew hears all
 		}
 	}
@@ -180,6 +188,12 @@
 		}
 		b.census = c.Census
 	}
+	if c.Verdicts != nil {
+		if c.Verdicts = c.Verdicts.Onto(b.verdicts); c.Verdicts == nil {
+			return errors.New("hand: a part of verdicts that were never told")
+		}
+		b.verdicts = c.Verdicts
+	}
 	return nil
 }
 
@@ -233,7 +247,7 @@
 	p := &furrow.Ping{Sent: h.now(), Lead: b.addr == h.lead.Chosen(), Every: h.lead.Every(b.addr)}
 	p.Held, p.Sum = h.state.Held()
 	if h.gate != nil {
-		p.Ready, p.Gen, p.Rests = h.gate.ready, h.gate.gen, h.gate.rests
+		p.Ready, p.Gen, p.Rests, p.Parts = h.gate.ready, h.gate.gen, h.gate.rests, h.gate.parts
 		if b.wants {
 			p.Figures = h.gate.figures
 		}
@@ -241,6 +255,9 @@
 			b.asked = h.gate.asked
 			p.Asked = b.asked
 		}
+		if len(h.gate.heads) > 0 && (b.heads == 0 || p.Sent-b.heads >= headsEvery) {
+			p.Heads, b.heads = h.gate.heads, max(p.Sent, 1)
+		}
 	}
 	if b.conn != nil && b.every != p.Every {
 		b.every = p.Every
--- a/internal/hand/gate.go
+++ b/internal/hand/gate.go
@@ -6,7 +6,9 @@
 
 	"github.com/pkg/errors"
 
+	"pepperfall.example/pepperfall/internal/drove"
 	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
 )
 
 // gate is the one beside the hand while it is connected; all under the hand's
@@ -17,7 +19,9 @@
 	rests   bool // it would be, but for the order to rest
 	figures *furrow.Figures
 	asked   *furrow.Asked
+	heads   []drove.Heads
 	gen     uint64        // in force there; 0: none
+	parts   int           // by which it divides quotas; 0: not told
 	no      uint64        // of the last change sent
 	at      time.Duration // when it was
 	sent    []mark        // changes that it has not acknowledged
@@ -116,11 +120,18 @@
 	}
 	ready, rests := g.ready, g.rests
 	if p := f.Ping; p != nil {
-		ready, rests, g.gen, g.figures = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures
+		ready, rests, g.gen, g.figures, g.heads, g.parts = p.Ready, p.Rests, max(g.gen, p.Gen), p.Figures, p.Heads, p.Parts
 		if p.Asked != nil {
 			g.asked = p.Asked
 		}
-		_ = g.conn.Send(&furrow.Frame{Pong: h.fresh.Pong(p.Sent, h.now())})
+		pong := h.fresh.Pong(p.Sent, h.now())
+		if b := h.barns[h.lead.Chosen()]; b != nil {
+			pong.Reap = b.reap
+		}
+		_ = g.conn.Send(&furrow.Frame{Pong: pong})
+	}
+	if b := h.barns[h.lead.Chosen()]; f.Sheaf != nil && b != nil && b.reap != 0 && len(f.Sheaf) <= winnow.MostSheaf {
+		b.send(&furrow.Frame{Sheaf: f.Sheaf})
 	}
 	if f.Leaving != nil {
 		h.log.Info("gate leaves", "why", *f.Leaving)
--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -15,6 +15,7 @@
 	"pepperfall.example/pepperfall/internal/grove"
 	"pepperfall.example/pepperfall/internal/harvest"
 	"pepperfall.example/pepperfall/internal/plot"
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -56,6 +57,8 @@
 	WarmupExcess, WarmupSlack float64
 	ListLag                   time.Duration
 
+	Failed func(id string, why verdict.Verdict) // of a request that may have run and got no server's answer; nil: nobody is told
+
 	Given func(units, of int) // its parts of quotas are others' from now on; so many units were taken over. nil: nobody asks
 }
 
@@ -71,11 +74,12 @@
 	ready  atomic.Bool
 	yields yields // the loop's
 	minute minute
+	fit    fit // the loop's
 }
 
 // NewEstate opens the sockets of an edge node of the system.
 func NewEstate(cfg EstateConfig) (*Estate, error) {
-	field := &policy.Field{RetryEarn: cfg.RetryRatio * budgetPart, RetryCap: 1, ColdPart: coldPart, ColdSpan: coldSpan, Report: estateReport}
+	field := &policy.Field{RetryEarn: cfg.RetryRatio * budgetPart, ColdPart: coldPart, ColdSpan: coldSpan, Report: estateReport}
 	set := policy.Settings{Gateways: 1, Zone: cfg.Zone, Resolution: time.Millisecond, CanCancel: true, CanTell: true,
 		MailPerSecond: estateMail, LargestUnits: 1, MaxRetryAfter: time.Second, Field: field}
 	g, err := policy.New(set, cfg.Seed)
@@ -90,9 +94,10 @@
 	n.loop.lookEvery = estateLook
 	n.server = newServer(clk, set, up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
 	e := &Estate{node: n, cfg: cfg, field: field, grove: &grove.Grove{Terms: groveTerms(&cfg)}}
+	field.RetryCap = e.retryCap
 	e.estate = &estate{clock: clk, rnd: rand.New(rand.NewPCG(cfg.Seed, 0x657374))}
 	e.estate.freshFor.Store(int64(freshFor(&cfg)))
-	n.server.estate, n.server.over = e.estate, n.loop.over
+	n.server.estate, n.server.over, n.server.failed = e.estate, n.loop.over, cfg.Failed
 	if n.peers, err = listenPeers(w, cfg.Peer, nil, netip.AddrPort{}, func(from int, data []byte) {
 		select {
 		case n.loop.events <- policy.PeerMessage{From: from, Data: data}:
@@ -228,7 +233,6 @@
 	e.node.peers.meet(to)
 	e.estate.shares.Store(int64(shares))
 	e.in(func(l *loop) {
-		e.field.RetryCap = e.retryCap()
 		e.yields.peers = policy.Peers{Me: me, Gateways: numbers, Shares: shares, Regions: regions, Less: less}
 		e.share(l)
 		e.members(l)
@@ -276,5 +280,8 @@
 	}
 	l.up.update(list, true)
 	l.decide(ev)
+	if len(e.fit.trusts) > 0 {
+		e.trusts(l) // of servers that are new to the module
+	}
 	e.ready.Store(e.estate.tilled.Load() != nil && e.estate.shares.Load() > 0)
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"pepperfall.example/pepperfall/internal/routing"
+	"pepperfall.example/pepperfall/internal/verdict"
 	"pepperfall.example/pepperfall/internal/world"
 	"pepperfall.example/pepperfall/policy"
 )
@@ -50,9 +51,10 @@
 	reuse  reuse
 
 	booked booked
-	watch  *watch          // nil: no view of the fleet is kept
-	estate *estate         // nil: the platform's wire is spoken
-	counts counts          // an estate's
+	watch  *watch  // nil: no view of the fleet is kept
+	estate *estate // nil: the platform's wire is spoken
+	counts counts  // an estate's
+	failed func(id string, why verdict.Verdict)
 	over   <-chan struct{} // closed when an estate's loop has ended
 }
 
@@ -312,7 +314,7 @@
 // talk serves a connection, one request after another.
 func (s *server) talk(cc *clientConn) {
 	defer s.leave(cc)
-	for first := true; ; first = false {
+	for first := s.estate == nil; ; first = false { // on the system's wire a connection rests before its first request as before others
 		cc.in.begin()
 		tune := s.tune.Load()
 		wait := tune.ClientIdle
@@ -333,7 +335,8 @@
 		}
 		if err := cc.read(); err != nil {
 			if status := statusOf(err); status != 0 {
-				s.turnAway(cc, status, "", err.Error())
+				o := unsent(status, 0, err.Error())
+				s.turnAway(cc, o.Status(), o.Fields(), o.Text())
 			}
 			return
 		}
@@ -474,7 +477,7 @@
 		}
 		res := s.up.do(cmd.attempt, r)
 		s.events <- outcome{c, cmd.attempt, res}
-		if res.code == policy.OK {
+		if res.End == verdict.Served {
 			cc.bad = 0
 			fields := ""
 			if len(res.contentType) > 0 {
--- a/policy/api.go
+++ b/policy/api.go
@@ -83,11 +83,11 @@
 
 // Field holds what a gateway of many services goes by beside its settings.
 type Field struct {
-	RetryEarn float64       // of a service's budget of further attempts, earned by each first attempt here
-	RetryCap  float64       // most of it that is kept
-	ColdPart  float64       // share of its capacity that a cold server has
-	ColdSpan  time.Duration // a cold server's sends are counted over this
-	Report    time.Duration // between two reports to a peer
+	RetryEarn float64                      // of a service's budget of further attempts, earned by each first attempt here
+	RetryCap  func(service string) float64 // most of it that is kept
+	ColdPart  float64                      // share of its capacity that a cold server has
+	ColdSpan  time.Duration                // a cold server's sends are counted over this
+	Report    time.Duration                // between two reports to a peer
 }
 
 // Names of load report values the module understands.
@@ -231,6 +231,26 @@
 // units left, but for those that held requests need. It is the last but for what is held and out.
 type Yield struct{}
 
+// Level is how far a server is trusted, by what all gateways saw.
+type Level int
+
+// The levels. A higher one is stricter.
+const (
+	Trusted  Level = iota
+	Doubted        // what may not run twice goes elsewhere first
+	NoRecord       // nothing that may not run twice, but for trials
+	NoTrust        // nothing, but for trials
+)
+
+// Trust is how far one server is trusted.
+type Trust struct {
+	Level Level
+	Try   bool // one request may try it: of those that may not run twice, at NoTrust of the others
+}
+
+// Trusts replaces all that was told of trust before; servers that are not in it are trusted.
+type Trusts struct{ Servers map[ServerID]Trust }
+
 // Given brings units that another gateway has given up.
 type Given struct {
 	Customer uint64
@@ -299,6 +319,7 @@
 func (Peers) event()       {}
 func (Yield) event()       {}
 func (Given) event()       {}
+func (Trusts) event()      {}
 
 func (Send) action()     {}
 func (Cancel) action()   {}
