Draw servers that bear what they have had when they turn cold, and room for 1,000 edges

Change: the drawn bound of a cold server is at least its usual share; edges beyond 90 of a zone are in nets of their own.

--- a/internal/greenhouse/soil.go
+++ b/internal/greenhouse/soil.go
@@ -38,10 +38,17 @@
 	return g
 }
 
+// fewEdges of a zone are in one net with its cores.
+const fewEdges = 90
+
 // IP is where a machine is.
 func (g *Soil) IP(k orchard.Kind, zone, no int) string {
 	switch k {
 	case orchard.EdgeMachine:
+		if no >= fewEdges {
+			no -= fewEdges
+			return fmt.Sprintf("10.%d.%d.%d", zone+1, 1+no/250, 1+no%250)
+		}
 		return fmt.Sprintf("10.%d.0.%d", zone+1, 10+no)
 	case orchard.CoreMachine:
 		return fmt.Sprintf("10.%d.0.%d", zone+1, 100+no)
--- a/internal/weather/draw.go
+++ b/internal/weather/draw.go
@@ -43,6 +43,10 @@
 		slots += float64(s.Slots * s.Each * len(d.Zones))
 	}
 	d.Rate = math.Round(m.Load*slots/(work/weights)*10) / 10
+	for i := range d.Services { // a server that turns cold bears what it has had: nobody can know of it at once
+		s := &d.Services[i]
+		s.WarmPerS = math.Max(s.WarmPerS, math.Ceil(d.Rate/float64(s.Each*len(d.Zones))))
+	}
 	var kinds []Trouble
 	for _, t := range Troubles {
 		if len(m.Only) == 0 || slices.Contains(m.Only, t.Name) {
