--- a/internal/weather/day_test.go
+++ b/internal/weather/day_test.go
@@ -1,10 +1,13 @@
 package weather
 
 import (
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/conffile"
 )
 
 // What is drawn is in bounds, stands in a file as it is, and is the same for the same seed; the core never has two
@@ -93,3 +96,16 @@
 	}
 	return s
 }
+
+// The days that are kept can be read.
+func TestKeptDays(t *testing.T) {
+	files, err := filepath.Glob("../../scenarios/days/*.toml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, f := range files {
+		text, err := conffile.Read(f)
+		assert.NilError(t, err)
+		_, err = Parse(f, text)
+		assert.NilError(t, err)
+	}
+}
