Keep a first request's own time on connections that have rested before it

Cause: since connections may rest before their first request, that one had as long as later ones (twice header_timeout_ms), so a stall in its body was answered after 1.4 s instead of 0.7 (TestUploadBreaksOff). Ruled out: the time of a body's pieces, which is as before.

Change: on the system's wire the first request has header_timeout_ms from its first byte.

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -314,12 +314,14 @@
 // talk serves a connection, one request after another.
 func (s *server) talk(cc *clientConn) {
 	defer s.leave(cc)
-	for first := s.estate == nil; ; first = false { // on the system's wire a connection rests before its first request as before others
+	for first := true; ; first = false {
 		cc.in.begin()
 		tune := s.tune.Load()
-		wait := tune.ClientIdle
-		if first {
-			wait = tune.FirstRequest
+		wait, whole := tune.ClientIdle, tune.WholeRequest
+		if first && s.estate == nil {
+			wait, whole = tune.FirstRequest, 0 // from the connect; on the system's wire a connection may rest before it
+		} else if first {
+			whole = tune.FirstRequest
 		}
 		if cc.in.buffered() == 0 {
 			if s.until(cc, wait) != nil || cc.in.more() != nil {
@@ -330,7 +332,7 @@
 		if s.estate != nil {
 			cc.in.most = s.estate.longest()
 		}
-		if !first && s.until(cc, tune.WholeRequest) != nil {
+		if whole > 0 && s.until(cc, whole) != nil {
 			return
 		}
 		if err := cc.read(); err != nil {
