Take the operators' word on servers, explain verdicts, and hear more of the doubted

Cause: on whole clusters a server that was only doubted got no more records, so nothing more was heard of it and it was neither condemned nor cleared for minutes; where all servers fell ill at once, the first to be looked at was condemned by what had been usual five seconds before. Change: after 5 s of doubt named gates try the server too; what is usual is looked at over 4 and 16 s as well as over 128 s, and anew before a server is doubted. Server.Judge (fit, unfit, unfit-all, none; for a time) is an order as those about zones are: on the disks of a majority, numbered, over restarts; Server.Explain tells the verdict and what each gate saw; almanac server explain and judge.

--- a/api/operators.go
+++ b/api/operators.go
@@ -21,6 +21,69 @@
 	RestForce = "force" // true: no matter what stays awake
 )
 
+// The paths of ctl about servers, followed by the id of one. That of ServerJudge has JudgeWord in its query, and may
+// have JudgeFor.
+const (
+	ServerJudge   = "/-/Server.Judge/"
+	ServerExplain = "/-/Server.Explain/"
+	JudgeWord     = "word"
+	JudgeFor      = "for_s" // seconds; left out: JudgeUsual
+)
+
+// Words of operators on a server.
+const (
+	WordFit       = "fit"       // whatever gates say
+	WordUnfit     = "unfit"     // it gets nothing that may run once only
+	WordUnfitAll  = "unfit-all" // it gets nothing
+	WordWithdrawn = "none"      // what gates say holds again
+)
+
+// For how long a word on a server holds.
+const (
+	JudgeUsual = time.Hour
+	JudgeMost  = 30 * 24 * time.Hour
+)
+
+// Explained is what one barn knows of a server's verdict.
+type Explained struct {
+	Barn     string      `json:"barn"`
+	At       time.Time   `json:"at"`
+	Server   string      `json:"server"`
+	Service  string      `json:"service"` // empty: it is not in the list
+	Keeper   string      `json:"keeper"`  // the barn that joins what gates tell of the service; empty: none does
+	Level    string      `json:"level"`   // in force by this barn's word; empty: it has none yet, or does not judge
+	Why      string      `json:"why"`
+	AgeMS    int64       `json:"age_ms"` // of the level
+	Number   int         `json:"number"` // outcomes joined
+	Share    float64     `json:"share"`  // of them against it, as they were weighed
+	For      int         `json:"for"`    // gates
+	Against  int         `json:"against"`
+	Relapses int         `json:"relapses"`
+	Trial    bool        `json:"trial"` // a few requests may try it
+	Word     ServerWord  `json:"word"`
+	Said     []Testimony `json:"said"` // by the keeper only: by gate and kind, in the last five minutes
+}
+
+// ServerWord is the operators' word on a server.
+type ServerWord struct {
+	Word  string    `json:"word"` // empty: none
+	Until time.Time `json:"until"`
+	By    string    `json:"by"` // the barn that numbered it
+}
+
+// Testimony is what one gate saw of a server, in numbers of outcomes.
+type Testimony struct {
+	Gate       string  `json:"gate"`
+	Zone       string  `json:"zone"`
+	Record     bool    `json:"record"` // requests that may run once only; else those that may run again
+	Confirmed  int     `json:"confirmed"`
+	TurnedAway int     `json:"turned_away"`
+	Unclear    int     `json:"unclear"`
+	Late       int     `json:"late"`
+	WrongID    int     `json:"wrong_id"`
+	Worth      float64 `json:"worth"` // 0 to 1: little where other servers fail at the gate too
+}
+
 // LeastAwake is the part of gates that has to stay awake where an order to rest names no other.
 const LeastAwake = 0.5
 
@@ -49,6 +112,7 @@
 	OrderRestore  = "Drain.Finish"
 	OrderRest     = "Node.Rest"
 	OrderWake     = "Node.Wake"
+	OrderJudge    = "Server.Judge"
 	OrderVerdict  = "Verdict" // no order: this barn found so of a server
 )
 
--- a/cmd/almanac/main.go
+++ b/cmd/almanac/main.go
@@ -57,7 +57,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Flags:          []cli.Flag{&cli.StringFlag{Name: "ctl", Usage: "ctl addresses of some barns, `HOST:PORT,...`", Sources: cli.EnvVars(envCtl)}},
 		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return cli.Exit(err, badInput) },
-		Commands:       []*cli.Command{a.status(), a.node(), a.config(), a.zone("evacuate", true), a.zone("restore", false), a.why(), a.log(), a.state(), a.runbook(), a.demo()},
+		Commands:       []*cli.Command{a.status(), a.node(), a.server(), a.config(), a.zone("evacuate", true), a.zone("restore", false), a.why(), a.log(), a.state(), a.runbook(), a.demo()},
 	}
 	usage(root)
 	e := root.Run(ctx, args)
--- a/internal/almanac/client.go
+++ b/internal/almanac/client.go
@@ -267,6 +267,36 @@
 	return c.give(ctx, api.NodeRest+url.PathEscape(gate), q, nil)
 }
 
+// Judge says how far a server is trusted, for a time.
+func (c *Client) Judge(ctx context.Context, server, word string, holds time.Duration) error {
+	return c.give(ctx, api.ServerJudge+url.PathEscape(server), url.Values{api.JudgeWord: {word}, api.JudgeFor: {fmt.Sprint(holds.Seconds())}}, nil)
+}
+
+// Explain is what barns know of a server's verdict: the keeper's word where it answers, else another's.
+func (c *Client) Explain(ctx context.Context, server string) (*api.Explained, error) {
+	var found *api.Explained
+	var why error
+	asked := map[string]bool{}
+	for _, addr := range append(slices.Clone(c.turn()), c.Look(ctx).addresses()...) {
+		if asked[addr] {
+			continue
+		}
+		asked[addr] = true
+		x := &api.Explained{}
+		if err := c.get(ctx, addr, api.ServerExplain+url.PathEscape(server), x); err != nil {
+			why = err
+			continue
+		}
+		if found = x; x.Barn == x.Keeper {
+			break
+		}
+	}
+	if found == nil {
+		return nil, nobody(why)
+	}
+	return found, nil
+}
+
 // Wake takes that back.
 func (c *Client) Wake(ctx context.Context, gate string) error {
 	return c.give(ctx, api.NodeWake+url.PathEscape(gate), nil, nil)
--- a/internal/almanac/view.go
+++ b/internal/almanac/view.go
@@ -305,3 +305,13 @@
 	}
 	return n
 }
+
+// addresses are the ctl addresses of all barns that were spoken of.
+func (v *View) addresses() (all []string) {
+	for _, b := range v.Barns {
+		if b.Ctl != "" {
+			all = append(all, b.Ctl)
+		}
+	}
+	return all
+}
--- a/internal/barn/barn.go
+++ b/internal/barn/barn.go
@@ -70,7 +70,7 @@
 
 	coming *furrow.Plot // sent here to be stored last, which may not be done yet
 
-	fit fit // servers judged by what all gates saw
+	fit *fit // servers judged by what all gates saw
 
 	ops ops // what operators ask beyond the platform's calls
 }
--- a/internal/barn/fit.go
+++ b/internal/barn/fit.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +26,8 @@
 
 // fit is this barn's part in the judging of servers; all but the floor under the barn's mutex.
 type fit struct {
-	floor  *winnow.Floor // of the services that this barn keeps; the judging goroutine's
+	work   sync.Mutex    // for the floor, and taken before the barn's mutex
+	floor  *winnow.Floor // of the services that this barn keeps
 	kept   map[string]bool
 	inbox  []sheafAt
 	mine   *winnow.Verdicts  // of the floor; nil: none yet
@@ -56,8 +58,8 @@
 	at time.Duration
 }
 
-func newFit() fit {
-	return fit{floor: winnow.NewFloor(), kept: map[string]bool{}, heard: map[string]*heard{}, lately: map[string]lasting{}, levels: map[string]winnow.Level{}}
+func newFit() *fit {
+	return &fit{floor: winnow.NewFloor(), kept: map[string]bool{}, heard: map[string]*heard{}, lately: map[string]lasting{}, levels: map[string]winnow.Level{}}
 }
 
 // seat numbers connections.
@@ -85,7 +87,7 @@
 
 // serviceOf is the service of a server of the list; the barn's mutex is held.
 func (b *Barn) serviceOf(id string) string {
-	f := &b.fit
+	f := b.fit
 	if f.list != b.list {
 		f.list, f.in = b.list, map[string]string{}
 		for _, s := range b.list.List {
@@ -171,7 +173,7 @@
 
 // verdictsTold takes in what another barn tells of verdicts; the mutex is held.
 func (b *Barn) verdictsTold(l *link, c *furrow.Change) {
-	f := &b.fit
+	f := b.fit
 	for _, v := range c.Lately {
 		f.lately[v.Server] = lasting{v, b.now()}
 	}
@@ -201,11 +203,13 @@
 		b.fit.inbox = nil
 		b.mu.Unlock()
 
+		b.fit.work.Lock()
 		b.fit.floor.Adopt(now, adopt)
 		for _, x := range inbox {
 			b.fit.floor.Hear(x.at, x.s)
 		}
 		v := b.fit.floor.Step(now, mine)
+		b.fit.work.Unlock()
 
 		b.mu.Lock()
 		b.ruled(v, all, now)
@@ -225,7 +229,7 @@
 // keepsOf are the servers whose services this barn keeps, and what it takes over of those that it has not kept yet;
 // the mutex is held.
 func (b *Barn) keepsOf(all []winnow.Server, names []string, now time.Duration) (mine []winnow.Server, adopt []winnow.Verdict) {
-	f := &b.fit
+	f := b.fit
 	kept := map[string]bool{}
 	for _, s := range all {
 		if keeperOf(s.Service, names) != b.self.Name {
@@ -244,7 +248,7 @@
 
 // ruled puts the floor's verdicts in force, and tells others and hands what is new; the mutex is held.
 func (b *Barn) ruled(v *winnow.Verdicts, servers []winnow.Server, now time.Duration) {
-	f := &b.fit
+	f := b.fit
 	b.noteVerdicts(v)
 	v.By, v.Stamp = b.self.Name, b.w.Now().UnixNano()
 	if f.mine != nil {
@@ -258,7 +262,7 @@
 			l.news(&furrow.Change{Verdicts: p}, nil)
 		}
 	}
-	next := &winnow.Verdicts{By: b.self.Name, Stamp: v.Stamp, List: winnow.Join(servers, b.lists(now)...)}
+	next := &winnow.Verdicts{By: b.self.Name, Stamp: v.Stamp, List: winnow.Overrule(servers, winnow.Join(servers, b.lists(now)...), b.words())}
 	for _, x := range next.List {
 		f.lately[x.Server] = lasting{x, now}
 	}
@@ -280,7 +284,7 @@
 
 // lists are the verdicts of all keepers; those of one that is out of reach weigh less and less. The mutex is held.
 func (b *Barn) lists(now time.Duration) [][]winnow.Verdict {
-	f := &b.fit
+	f := b.fit
 	all := [][]winnow.Verdict{f.mine.List}
 	for name, h := range f.heard {
 		if len(b.links[name]) > 0 {
@@ -294,7 +298,7 @@
 		for i := range list {
 			v := &list[i]
 			v.Level = v.Level.Aged(now - h.at)
-			v.Trial = v.Trial && v.Level >= winnow.UnfitRecord
+			v.Trial = v.Trial && now == h.at
 		}
 		all = append(all, list)
 	}
--- a/internal/barn/http.go
+++ b/internal/barn/http.go
@@ -89,6 +89,7 @@
 		})
 	}
 	b.nodes(m)
+	b.servers(m)
 	b.operators(m)
 	return m
 }
@@ -126,6 +127,24 @@
 	}
 }
 
+// servers adds the order about servers.
+func (b *Barn) servers(m *http.ServeMux) {
+	m.HandleFunc("POST "+api.ServerJudge, func(w http.ResponseWriter, r *http.Request) {
+		id, q := strings.TrimPrefix(r.URL.Path, api.ServerJudge), r.URL.Query()
+		finish(w, b.noted(r, api.OrderJudge, id, func() error {
+			holds := api.JudgeUsual
+			if text := q.Get(api.JudgeFor); text != "" {
+				s, err := strconv.ParseFloat(text, 64)
+				if err != nil || !(s > 0 && s <= api.JudgeMost.Seconds()) {
+					return Invalid{errors.Errorf("%s: %q is no number of seconds up to %.0f", api.JudgeFor, text, api.JudgeMost.Seconds())}
+				}
+				holds = time.Duration(s * float64(time.Second))
+			}
+			return b.Judge(r.Context(), id, q.Get(api.JudgeWord), holds)
+		}))
+	})
+}
+
 // floorOf reads what has to stay awake.
 func floorOf(q url.Values) (Floor, error) {
 	least := Floor{Zone: api.LeastAwake, All: api.LeastAwake, Force: q.Get(api.RestForce) == "true"}
@@ -161,7 +180,7 @@
 	switch {
 	case errors.As(err, &invalid):
 		return http.StatusBadRequest
-	case errors.Is(err, ErrZone), errors.Is(err, ErrNode):
+	case errors.Is(err, ErrZone), errors.Is(err, ErrNode), errors.Is(err, ErrServer):
 		return http.StatusNotFound
 	case errors.As(err, &tight):
 		return http.StatusConflict
--- a/internal/barn/operators.go
+++ b/internal/barn/operators.go
@@ -71,6 +71,13 @@
 		})
 	}
 	add(api.OpsStatus, func(r *http.Request) (any, error) { return b.Status(r.Context()), nil })
+	add(api.ServerExplain, func(r *http.Request) (any, error) {
+		id := strings.TrimPrefix(r.URL.Path, api.ServerExplain)
+		if !nodeName.MatchString(id) {
+			return nil, errors.Errorf("%q is no id of a server", id)
+		}
+		return b.Explain(id), nil
+	})
 	add(api.OpsHistory, func(*http.Request) (any, error) { return b.History(), nil })
 	add(api.OpsLog, func(r *http.Request) (any, error) {
 		from := uint64(0)
@@ -208,6 +215,9 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(newest)) {
 		z := newest[name]
+		if _, is := z.Server(); is {
+			continue // Explain tells of it
+		}
 		if node, is := z.Node(); is {
 			s.Nodes = append(s.Nodes, api.NodeOrder{Node: node, Rests: z.Drain, Count: z.Count, By: z.By, Confirmed: b.zones[name] == z})
 		} else {
--- a/internal/barn/quorum.go
+++ b/internal/barn/quorum.go
@@ -142,9 +142,10 @@
 	return n >= Rest(c.N)
 }
 
-// Next is the order that follows the highest one heard. Its count is the time of
+// Next is the order wanted, so that it follows the highest one heard. Its count is the time of
 // day in milliseconds where that is higher: so it holds over an order given
 // before it that only a minority has, and nobody heard, while clocks are near.
-func Next(newest furrow.Zone, by string, drain bool, ms int64) furrow.Zone {
-	return furrow.Zone{Zone: newest.Zone, Count: max(newest.Count+1, uint64(max(ms, 0))), By: by, Drain: drain}
+func Next(newest furrow.Zone, by string, want furrow.Zone, ms int64) furrow.Zone {
+	want.Count, want.By = max(newest.Count+1, uint64(max(ms, 0))), by
+	return want
 }
--- a/internal/barn/rest.go
+++ b/internal/barn/rest.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	subject := furrow.OfNode(name)
 	rested := false
-	err := b.order(ctx, subject, true, func(held map[string]furrow.Zone) error {
+	err := b.order(ctx, furrow.Zone{Zone: subject, Drain: true}, func(held map[string]furrow.Zone) error {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if b.gates.gates[name] == nil && !least.Force {
@@ -56,7 +56,7 @@
 	err = b.gates.room(b.now(), name, held, least)
 	b.mu.Unlock()
 	if err != nil {
-		if e := b.order(ctx, subject, false, nil); e != nil {
+		if e := b.order(ctx, furrow.Zone{Zone: subject}, nil); e != nil {
 			return errors.WithMessage(ErrUnsettled, "not taken back, though "+err.Error())
 		}
 	}
@@ -68,7 +68,7 @@
 	ctx, cancel := b.within(ctx, callWithin)
 	defer cancel()
 	subject := furrow.OfNode(name)
-	return b.order(ctx, subject, false, func(held map[string]furrow.Zone) error {
+	return b.order(ctx, furrow.Zone{Zone: subject}, func(held map[string]furrow.Zone) error {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if b.gates.gates[name] == nil && held[subject].Count == 0 {
--- a/internal/barn/round.go
+++ b/internal/barn/round.go
@@ -250,6 +250,9 @@
 	}
 	b.zones[z.Zone] = z
 	b.log.Info("order in force", "about", z.Zone, "drain", z.Drain, "count", z.Count)
+	if _, is := z.Server(); is {
+		return // verdicts tell of it
+	}
 	node, is := z.Node()
 	if is {
 		b.gates.rest(node, z.Drain)
@@ -264,7 +267,8 @@
 // orders are the confirmed ones that concern a gate; the mutex is held.
 func (b *Barn) orders(gate string) (all []furrow.Zone) {
 	for _, name := range slices.Sorted(maps.Keys(b.zones)) {
-		if node, is := b.zones[name].Node(); !is || node == gate {
+		_, server := b.zones[name].Server()
+		if node, is := b.zones[name].Node(); !server && (!is || node == gate) {
 			all = append(all, b.zones[name])
 		}
 	}
--- a/internal/barn/word.go
+++ b/internal/barn/word.go
@@ -80,11 +80,11 @@
 	}
 	ctx, cancel := b.within(ctx, callWithin)
 	defer cancel()
-	return b.order(ctx, zone, drain, nil)
+	return b.order(ctx, furrow.Zone{Zone: zone, Drain: drain}, nil)
 }
 
-// order brings the next order about a zone or node, where the orders held allow it.
-func (b *Barn) order(ctx context.Context, subject string, drain bool, allows func(held map[string]furrow.Zone) error) error {
+// order brings the next order about a zone, node or server, where the orders held allow it.
+func (b *Barn) order(ctx context.Context, want furrow.Zone, allows func(held map[string]furrow.Zone) error) error {
 	c := b.heads(ctx, Count.Enough)
 	if !c.Enough() || ctx.Err() != nil { // a caller who has gone has given up the order
 		return ErrUnsettled
@@ -95,9 +95,7 @@
 			return err
 		}
 	}
-	newest := held[subject]
-	newest.Zone = subject
-	return b.bringZone(ctx, Next(newest, b.self.Name, drain, b.w.Now().UnixMilli()), c.Words)
+	return b.bringZone(ctx, Next(held[want.Zone], b.self.Name, want, b.w.Now().UnixMilli()), c.Words)
 }
 
 // body finds the plot of a head, or one above it; nil if it can't be had.
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -121,12 +121,14 @@
 	Zone   *Zone
 }
 
-// Zone is an order about a zone, or about a node (OfNode). The higher Count holds; among equal ones the higher By.
+// Zone is an order about a zone, a node (OfNode) or a server (OfServer). The higher Count holds; among equal ones the higher By.
 type Zone struct {
 	Zone  string
 	Count uint64
 	By    string // the barn that gave the order its number
 	Drain bool   // nothing is to be sent to the zone's servers; of a node: it rests
+	Word  string `json:",omitempty"` // of a server: how far it is to be trusted; empty: as all gates saw
+	Until int64  `json:",omitempty"` // of a server: milliseconds of Unix time until which Word holds
 }
 
 // Over tells whether z is to hold in place of y of the same zone. No order has the count 0.
--- a/internal/furrow/node.go
+++ b/internal/furrow/node.go
@@ -17,6 +17,15 @@
 // Node is the node that an order is about; false: it is about a zone.
 func (z Zone) Node() (name string, is bool) { return strings.CutPrefix(z.Zone, nodeMark) }
 
+// serverMark begins the subject of an order about a server; no zone is called so.
+const serverMark = "server/"
+
+// OfServer is the subject of orders about a life of a server.
+func OfServer(id string) string { return serverMark + id }
+
+// Server is the server that an order is about; false: it is about something else.
+func (z Zone) Server() (id string, is bool) { return strings.CutPrefix(z.Zone, serverMark) }
+
 // SumOf tells orders held from others, in few bytes; 0: there are none.
 func SumOf(all []Zone) uint64 {
 	if len(all) == 0 {
@@ -32,6 +41,9 @@
 		if z.Drain {
 			b = append(b, 1)
 		}
+		if z.Word != "" {
+			b = binary.AppendVarint(append(b, z.Word...), z.Until)
+		}
 		_, _ = d.Write(b)
 	}
 	return max(d.Sum64(), 1)
--- a/internal/gate/fit.go
+++ b/internal/gate/fit.go
@@ -110,7 +110,7 @@
 	if f.verdicts != nil {
 		for _, v := range f.verdicts.List {
 			t := policy.Trust{Level: policy.Level(v.Level.Aged(now - f.heard))}
-			if round, had := f.tried[v.Server]; v.Trial && t.Level > policy.Doubted {
+			if round, had := f.tried[v.Server]; v.Trial && t.Level > policy.Trusted {
 				if t.Try = !had || round != v.Round; t.Try {
 					t.Try = slices.Contains(winnow.Trialists(&v, f.gates, max(leastTriers, len(f.gates)/trialPart)), self)
 				}
--- a/internal/orchard/book.go
+++ b/internal/orchard/book.go
@@ -183,6 +183,16 @@
 	return a
 }
 
+// kind is that of a client's request, by its id.
+func (b *Book) kind(id string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if q := b.requests[id]; q != nil {
+		return q.Kind
+	}
+	return ""
+}
+
 func (b *Book) ran(a *Arrival) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/orchard/ill.go
+++ b/internal/orchard/ill.go
@@ -15,6 +15,16 @@
 	s.grey = share
 }
 
+// Forgetful has a share of the requests that may run once end without an answer, after the work; others it serves well.
+func (s *Server) Forgetful(share float64) { s.ForgetfulTo(share, nil) }
+
+// ForgetfulTo is Forgetful for some tenants and callers' addresses only; nil: for all.
+func (s *Server) ForgetfulTo(share float64, to func(tenant, ip string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.once, s.onceTo = share, to
+}
+
 // Lie has its health answer say the reverse.
 func (s *Server) Lie(lies bool) {
 	s.mu.Lock()
@@ -61,3 +71,14 @@
 	_ = c.(interface{ SetLinger(int) error }).SetLinger(0)
 	return true
 }
+
+// loses tells whether the answer to a request is not to come.
+func (s *Server) loses(v *visit) bool {
+	s.mu.Lock()
+	share, to := s.once, s.onceTo
+	s.mu.Unlock()
+	if ip, _, err := net.SplitHostPort(v.c.RemoteAddr().String()); to != nil && (err != nil || !to(v.arrival.Tenant, ip)) {
+		return false
+	}
+	return share > 0 && s.o.Book.kind(v.id) == "mutating" && s.o.chance() < share
+}
--- a/internal/orchard/server.go
+++ b/internal/orchard/server.go
@@ -39,7 +39,9 @@
 	conns    int
 	pace     float64 // work takes so many times as long
 	spoil    float64
-	grey     float64       // share of requests that fail
+	grey     float64 // share of requests that fail
+	once     float64 // share of those that may run once that end without an answer
+	onceTo   func(tenant, ip string) bool
 	lies     bool          // its health answer says the reverse
 	forgets  time.Duration // connections that stood idle for so long
 	sealed   int
@@ -239,6 +241,9 @@
 	if !time.Now().Before(until) {
 		return v.answer(504, 0)
 	}
+	if s.loses(v) {
+		return v.answer(200, reset)
+	}
 	return v.answer(200, s.fate())
 }
 
--- a/internal/orchard/tally.go
+++ b/internal/orchard/tally.go
@@ -68,3 +68,20 @@
 	defer b.mu.Unlock()
 	q.Probe = true
 }
+
+// Visits counts the requests of a kind that came to a server in a stretch of time.
+func (b *Book) Visits(s *Server, kind string, from, to time.Time) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, q := range b.all {
+		if q.Kind != kind {
+			continue
+		}
+		for _, a := range q.Arrivals {
+			if a.Server == s && !a.At.Before(from) && a.At.Before(to) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/winnow/explore_test.go
@@ -0,0 +1,220 @@
+package winnow
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// path is three gates that tell one barn, as far as a row of steps has brought them.
+type path struct {
+	floor   *Floor
+	fault   string
+	gates   [3]*Basket
+	told    [3]uint64
+	way     [3]*Sheaf // sent and not arrived
+	seen    [3]int
+	late    *Sheaf // a copy that comes once more
+	lost    int
+	again   int
+	starts  int
+	level   Level // the highest told
+	pardon  bool  // by a barn that began anew
+	servers []Server
+}
+
+const pathNow = time.Hour
+
+// mostSeen are the outcomes that each gate may see, mostTroubles what may go wrong in all.
+var mostSeen = [3]int{2, 2, 1}
+
+const mostTroubles = 1
+
+// step is one of what may happen: what, at a gate.
+type step struct {
+	what byte
+	gate int
+}
+
+func newPath(fault string) *path {
+	p := &path{floor: NewFloor(), fault: fault}
+	for i := range p.gates {
+		p.gates[i] = NewBasket(fmt.Sprint("g", i), fmt.Sprint("z", i), 1)
+	}
+	for i := range 4 {
+		p.servers = append(p.servers, Server{ID: fmt.Sprint("s", i), Service: "loans", Region: "n", Capacity: 1})
+	}
+	p.floor.fault = fault
+	return p
+}
+
+// steps are what may happen next: a gate sees an outcome, tells, its word arrives, arrives and comes again later, or
+// is lost with its connection; the late copy comes; the barn starts anew.
+func (p *path) steps() (all []step) {
+	well := p.again+p.lost+p.starts < mostTroubles
+	for g := range p.gates {
+		if p.seen[g] < mostSeen[g] {
+			all = append(all, step{'s', g})
+		}
+		if p.way[g] == nil && p.gates[g].no > p.told[g] {
+			all = append(all, step{'t', g})
+		}
+		if p.way[g] != nil {
+			all = append(all, step{'d', g})
+			if well {
+				all = append(all, step{'a', g})
+			}
+			if well {
+				all = append(all, step{'l', g})
+			}
+		}
+	}
+	if p.late != nil {
+		all = append(all, step{'c', 0})
+	}
+	if well && p.level > Fit {
+		all = append(all, step{'r', 0})
+	}
+	return all
+}
+
+// do takes a step; look: the verdict is looked at after it.
+func (p *path) do(s step, look bool) {
+	g := s.gate
+	switch s.what {
+	case 's':
+		p.gates[g].Add(pathNow, "s0", Record, uint8(g), Unclear)
+		p.seen[g]++
+	case 't':
+		p.way[g], p.told[g] = p.gates[g].Tell(pathNow, p.told[g], func(string) bool { return true })
+	case 'd', 'a':
+		if p.floor.Hear(pathNow, p.way[g]); s.what == 'a' {
+			p.late, p.again = p.way[g], 1
+		}
+		p.way[g] = nil
+	case 'l':
+		p.way[g], p.told[g], p.lost = nil, 0, 1 // the connection is a new one
+		if p.fault == "goes on after a loss" {
+			p.told[g] = p.gates[g].no
+		}
+	case 'c':
+		p.floor.Hear(pathNow, p.late)
+		p.late = nil
+	case 'r':
+		list := p.floor.Step(pathNow, p.servers).List
+		p.floor, p.told, p.starts = NewFloor(), [3]uint64{}, 1
+		p.floor.fault = p.fault
+		if p.fault != "adopts nothing" {
+			p.floor.Adopt(pathNow, list)
+		}
+		p.pardon = look && p.is() < p.level
+	}
+	if look && s.what != 's' && s.what != 't' && s.what != 'l' {
+		p.level = max(p.level, p.is())
+	}
+}
+
+func (p *path) is() Level {
+	if list := p.floor.Step(pathNow, p.servers).List; len(list) > 0 {
+		return list[0].Level
+	}
+	return Fit
+}
+
+func (p *path) held() (n [3]int) {
+	for k, c := range p.floor.cells["s0"] {
+		n[k.group] += int(c.counts[Unclear])
+	}
+	return n
+}
+
+// key tells states apart that may go on differently.
+func (p *path) key() string {
+	way := [3]int{}
+	for g, s := range p.way {
+		if s != nil {
+			way[g] = 1
+			for _, e := range s.Ears {
+				way[g] += int(e.Counts[Unclear])
+			}
+		}
+	}
+	late := ""
+	if p.late != nil {
+		late = fmt.Sprint(p.late.Witness, p.late.Ears)
+	}
+	return fmt.Sprint(p.seen, p.told, way, p.held(), late, p.lost, p.again, p.starts, p.level)
+}
+
+// wrong is what is wrong with a state, now or once all that is owed has been told.
+func (p *path) wrong() string {
+	if p.pardon {
+		return "a barn that began anew pardons"
+	}
+	for g, n := range p.held() {
+		if n > p.seen[g] {
+			return fmt.Sprintf("of %d outcomes at g%d %d are held", p.seen[g], g, n)
+		}
+	}
+	for g := range p.gates {
+		if p.way[g] != nil {
+			p.floor.Hear(pathNow, p.way[g])
+		}
+		s, _ := p.gates[g].Tell(pathNow, p.told[g], func(string) bool { return true })
+		p.floor.Hear(pathNow, s)
+	}
+	if held := p.held(); held != p.seen {
+		return fmt.Sprintf("%v were seen, %v are held in the end", p.seen, held)
+	}
+	is := p.is()
+	if all := p.seen[0] + p.seen[1] + p.seen[2]; is < UnfitRecord && (all > 4 || p.level >= UnfitRecord) {
+		return fmt.Sprintf("%s after %d unclear outcomes", is, all)
+	}
+	return ""
+}
+
+// explore goes through all orders of steps, each state once.
+func explore(fault string) (states int, wrong string) {
+	known := map[string]bool{}
+	var walk func(done []step, level Level) string
+	walk = func(done []step, level Level) string {
+		p := newPath(fault)
+		for i, s := range done {
+			if i == len(done)-1 {
+				p.level = level // as it was found before
+			}
+			p.do(s, i == len(done)-1)
+		}
+		key := p.key()
+		if known[key] {
+			return ""
+		}
+		known[key] = true
+		next, level := p.steps(), p.level
+		if what := p.wrong(); what != "" {
+			return fmt.Sprint(done, ": ", what)
+		}
+		for _, s := range next {
+			if what := walk(append(done[:len(done):len(done)], s), level); what != "" {
+				return what
+			}
+		}
+		return ""
+	}
+	wrong = walk(nil, Fit)
+	return len(known), wrong
+}
+
+// Whatever is lost, doubled, late, or begun anew: in the end a barn holds what was seen, never more, and pardons nobody.
+func TestExplore(t *testing.T) {
+	states, wrong := explore("")
+	assert.Equal(t, wrong, "")
+	t.Logf("%d states", states)
+	assert.Assert(t, states > 2000, "%d states", states)
+	for _, fault := range []string{"adds", "goes on after a loss", "adopts nothing"} {
+		_, wrong := explore(fault)
+		assert.Assert(t, wrong != "", fault)
+	}
+}
--- a/internal/winnow/floor.go
+++ b/internal/winnow/floor.go
@@ -57,7 +57,7 @@
 	cells     map[string]map[cellKey]*cell // by server
 	stalks    map[string]*stalk
 	servers   []Server
-	usual     [kinds]map[string]float64 // shares, as they were at usualAt
+	usual     [kinds]usuals // shares, as they were at usualAt
 	usualAt   time.Duration
 	fault     string // planted by tests
 }
--- a/internal/winnow/join.go
+++ b/internal/winnow/join.go
@@ -286,13 +286,26 @@
 	return len(all)
 }
 
-// shares are the shares against all servers of which enough was seen lately.
-func (f *Floor) shares(kind Kind) map[string]float64 {
-	all := map[string]float64{}
-	for id := range f.cells {
-		voices := add(map[string]*voice{}, f.words(id, kind, f.now-64*Span, 0)...)
-		if r := f.join(voices, barOf(0)); r.bad+r.good >= need {
-			all[id] = r.plain
+// usualOver are the times over which it is looked at what is usual: lately, so that what befalls all at once is usual
+// at once, and for long.
+var usualOver = [...]time.Duration{2 * Span, 8 * Span, 64 * Span}
+
+const (
+	leastOthers = 3 // servers of which enough was seen lately, for what is usual lately
+	usualLong   = len(usualOver) - 1
+)
+
+// usuals are the shares against all servers of which enough was seen, over each of those times.
+type usuals [len(usualOver)]map[string]float64
+
+func (f *Floor) shares(kind Kind) (all usuals) {
+	for i, d := range usualOver {
+		all[i] = map[string]float64{}
+		for id := range f.cells {
+			voices := add(map[string]*voice{}, f.words(id, kind, f.now-d, 0)...)
+			if r := f.join(voices, barOf(0)); r.bad+r.good >= need {
+				all[i][id] = r.plain
+			}
 		}
 	}
 	return all
@@ -311,12 +324,18 @@
 }
 
 // barFor is higher where much is unclear at the middle one of all other servers.
-func barFor(shares map[string]float64, server string) bar {
-	var others []float64
-	for id, x := range shares {
-		if id != server {
-			others = append(others, x)
+func barFor(all usuals, server string) bar {
+	usual := 0.0
+	for i, shares := range all {
+		var others []float64
+		for id, x := range shares {
+			if id != server {
+				others = append(others, x)
+			}
+		}
+		if i == usualLong || len(others) >= leastOthers {
+			usual = max(usual, middle(others))
 		}
 	}
-	return barOf(middle(others))
+	return barOf(usual)
 }
--- a/internal/winnow/stalk.go
+++ b/internal/winnow/stalk.go
@@ -62,8 +62,8 @@
 func (f *Floor) Step(now time.Duration, servers []Server) *Verdicts {
 	f.now, f.servers = max(f.now, now), servers
 	f.forget()
-	if f.usual[0] == nil || f.now-f.usualAt >= usualEvery {
-		f.usual, f.usualAt = [kinds]map[string]float64{f.shares(Search), f.shares(Record)}, f.now
+	if f.usual[0][0] == nil || f.now-f.usualAt >= usualEvery {
+		f.lookAround()
 	}
 	list := []Verdict{}
 	for _, sv := range servers {
@@ -72,7 +72,7 @@
 			s = &stalk{good: f.now, since: f.now, returned: never}
 			f.stalks[sv.ID] = s
 		}
-		f.judge(sv.ID, s, [kinds]bar{barFor(f.usual[Search], sv.ID), barFor(f.usual[Record], sv.ID)})
+		f.judge(sv.ID, s)
 		if s.level == Fit && s.relapses == 0 {
 			continue
 		}
@@ -87,7 +87,16 @@
 	return &Verdicts{List: Bound(servers, list)}
 }
 
-func (f *Floor) judge(id string, s *stalk, bars [kinds]bar) {
+// lookAround takes what is usual anew.
+func (f *Floor) lookAround() {
+	f.usual, f.usualAt = [kinds]usuals{f.shares(Search), f.shares(Record)}, f.now
+}
+
+func (f *Floor) bars(id string) [kinds]bar {
+	return [kinds]bar{barFor(f.usual[Search], id), barFor(f.usual[Record], id)}
+}
+
+func (f *Floor) judge(id string, s *stalk) {
 	if s.level >= UnfitRecord {
 		f.tryAgain(id, s)
 		return
@@ -96,7 +105,13 @@
 		s.relapses--
 		s.since += absolved
 	}
+	bars := f.bars(id)
 	search, record := f.read(id, Search, s.returned, bars[Search]), f.read(id, Record, s.returned, bars[Record])
+	if f.usualAt != f.now && (f.doubts(record, bars[Record]) || f.doubts(search, bars[Search])) && s.level == Fit {
+		f.lookAround() // before it is doubted for what may be new to all
+		bars = f.bars(id)
+		search, record = f.read(id, Search, s.returned, bars[Search]), f.read(id, Record, s.returned, bars[Record])
+	}
 	switch {
 	case f.condemns(search, bars[Search]):
 		f.condemn(s, UnfitAll, whyFails, search)
@@ -110,6 +125,9 @@
 		if s.level == Fit {
 			s.to(f.now, Doubtful, whyFew)
 		}
+		if s.trial == 0 && f.now-s.since >= firstWait {
+			s.trial = f.now // records go elsewhere: without trials nothing more would be heard of it
+		}
 	case record.bad >= need/4 && record.share >= bars[Record].share/2:
 		s.good = f.now // neither: as it was
 	case s.level == Doubtful && f.now-s.good >= calm:
--- a/internal/winnow/verdict.go
+++ b/internal/winnow/verdict.go
@@ -194,7 +194,7 @@
 			v.Level = UnfitRecord
 		}
 		if float64(outRecord[in]+n) > all*mostOutRecord {
-			v.Level, v.Trial, v.Why = Doubtful, false, leastBad
+			v.Level, v.Why = Doubtful, leastBad
 			continue
 		}
 		outRecord[in] += n
--- /dev/null
+++ b/internal/winnow/word.go
@@ -0,0 +1,70 @@
+package winnow
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Word is an operator's on a server.
+type Word struct {
+	Level Level
+	Why   string
+}
+
+// Overrule puts operators' words in place of what gates saw. They hold beyond all bounds: whoever gives them knows
+// what is out. It returns a new list.
+func Overrule(servers []Server, list []Verdict, words map[string]Word) []Verdict {
+	if len(words) == 0 {
+		return list
+	}
+	all := index(list)
+	for _, s := range servers {
+		w, ok := words[s.ID]
+		if !ok {
+			continue
+		}
+		v := all[s.ID]
+		v.Server, v.Service, v.Level, v.Why, v.Trial, v.Round = s.ID, s.Service, w.Level, w.Why, false, 0
+		all[s.ID] = v
+	}
+	return sorted(all)
+}
+
+// Testimony is what one gate saw of a server, of one kind.
+type Testimony struct {
+	Witness, Zone string
+	Kind          Kind
+	Counts        [outcomes]int
+	Worth         float64 // of its word, 0 to 1
+}
+
+// Testimonies are what is held of a server, by gate and kind, lives of a gate summed.
+func (f *Floor) Testimonies(server string) (list []Testimony) {
+	type key struct {
+		name string
+		kind Kind
+	}
+	all, usual := map[key]*Testimony{}, f.usualFails(server)
+	for k, c := range f.cells[server] {
+		if f.now-f.begins(&k, c) > Window {
+			continue
+		}
+		t := all[key{k.name, k.kind}]
+		if t == nil {
+			t = &Testimony{Witness: k.name, Zone: c.from.zone, Kind: k.kind}
+			all[key{k.name, k.kind}] = t
+		}
+		for i, n := range c.counts {
+			t.Counts[i] += int(n)
+		}
+		t.Worth = max(t.Worth, f.credit(c.from, server, usual))
+	}
+	for _, t := range all {
+		list = append(list, *t)
+	}
+	slices.SortFunc(list, func(a, b Testimony) int {
+		return cmp.Or(strings.Compare(a.Witness, b.Witness), cmp.Compare(a.Kind, b.Kind))
+	})
+	return list
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -245,7 +245,7 @@
 // Trust is how far one server is trusted.
 type Trust struct {
 	Level Level
-	Try   bool // one request may try it: of those that may not run twice, at NoTrust of the others
+	Try   bool // one request is to try it: of those that may not run twice, at NoTrust of the others
 }
 
 // Trusts replaces all that was told of trust before; servers that are not in it are trusted.
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -120,7 +120,7 @@
 		if s == r.last || !g.usable(s, r) || !s.trusted(r) {
 			continue
 		}
-		if s.trust.Level > Doubted && s.tries(r) {
+		if s.trust.Try && s.tries(r) {
 			s.trust.Try = false // one trial, wherever else there is room
 			return s
 		}
