--- a/internal/almanac/dry_test.go
+++ b/internal/almanac/dry_test.go
@@ -75,6 +75,9 @@
 		{"swap-gates", "gate=gate-0", func(v *almanac.View) { v.Gates[1].Figures = nil }, "stopped", "to know whether gates.refused_share"},
 		{"remove-gates", "gate=gate-2", nil, "done", "would order: halt"},
 		{"add-gates", "gate=gate-2", nil, "done", "would order: start"},
+		{"records-unclear", "server=i-1", nil, "done", "would ask at books"},
+		{"records-unclear", "server=i-1", unsettled, "refused", "core-majority"},
+		{"records-unclear", "server=i-1", func(v *almanac.View) { v.Gates[1].Figures.Failed = 900 }, "stopped", "gates.failed_share"},
 		{"records-missing", "barn=barn-1", nil, "done", ""},
 		{"records-missing", "barn=barn-1", func(v *almanac.View) { v.Barns[1].Vouches = false }, "stopped", "would ask at started"},
 	} {
@@ -110,7 +113,7 @@
 	}
 	files, err := filepath.Glob("../../deploy/runbooks/*.toml")
 	assert.NilError(t, err)
-	assert.Equal(t, len(files), 11)
+	assert.Equal(t, len(files), 12)
 }
 
 func TestFactsAreKnown(t *testing.T) {
