Test how verdicts age at a gate and that it tries a server once a round

Need: two lines of a gate's judging had no test: verdicts that age where none is heard, and one trial a round. Change: tests of both in internal/gate.

--- /dev/null
+++ b/internal/gate/fit_test.go
@@ -0,0 +1,40 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"pepperfall.example/pepperfall/internal/furrow"
+	"pepperfall.example/pepperfall/internal/winnow"
+	"pepperfall.example/pepperfall/policy"
+)
+
+// Verdicts weigh less the longer nobody wants evidence, and a named gate tries a server once a round.
+func TestTrustsAgeAndTrials(t *testing.T) {
+	f := &fit{gates: []string{"g1", "g2", "g3"}}
+	tell := func(now time.Duration, round uint32) {
+		f.hears(&furrow.Frame{Pong: &furrow.Pong{Reap: 7}, Change: &furrow.Change{Verdicts: &winnow.Verdicts{By: "b", Stamp: int64(now),
+			List: []winnow.Verdict{{Server: "s", Level: winnow.UnfitAll, Trial: true, Round: round}}}}}, now)
+	}
+	at := func(now time.Duration) (policy.Trust, bool) {
+		all, changed := f.trusts("g2", now)
+		return all["s"], changed
+	}
+	tell(time.Second, 1)
+	for i := range 3 {
+		got, _ := at(time.Second + time.Duration(i)*beat)
+		assert.Equal(t, got, policy.Trust{Level: policy.NoTrust, Try: i == 0})
+	}
+	tell(2*time.Second, 2)
+	got, _ := at(2 * time.Second)
+	assert.Assert(t, got.Try)
+	f.hears(&furrow.Frame{Pong: &furrow.Pong{}}, 30*time.Second) // the hand has no lead that judges
+	got, _ = at(2*time.Second + winnow.Stale + 1)
+	assert.Equal(t, got.Level, policy.Doubted)
+	got, changed := at(2*time.Second + winnow.Expired + 1)
+	assert.Assert(t, got.Level == policy.Trusted && changed) // told once more, that it is trusted again
+	_, changed = at(2*time.Second + winnow.Expired + 2)
+	assert.Assert(t, !changed)
+}
