Tell evidence each four seconds while nothing speaks against a server

Change: a gate whose news accuse nobody, and that holds no verdict, tells each 4 s, so that each span is told once; what accuses is told at the next second as before, with all that is not told yet.

--- a/internal/gate/fit.go
+++ b/internal/gate/fit.go
@@ -13,9 +13,10 @@
 // Times and numbers of what a proxy tells of servers and is told of them.
 const (
 	tellEvery    = time.Second
-	starvedAfter = 3 * beat // a beat that comes so late shows that this process was not run
-	trialPart    = 9        // one of so many proxies tries a server in a round, ...
-	leastTriers  = 3        // ... and so many at least
+	calmEvery    = 4 * time.Second // while nothing speaks against any server, here or by a verdict
+	starvedAfter = 3 * beat        // a beat that comes so late shows that this process was not run
+	trialPart    = 9               // one of so many proxies tries a server in a round, ...
+	leastTriers  = 3               // ... and so many at least
 )
 
 // fit is what a proxy tells of servers, and what it was told of them.
@@ -28,6 +29,7 @@
 	told     uint64        // for which number the whole was told
 	no       uint64        // up to which was told
 	toldAt   time.Duration
+	lookedAt time.Duration // when it was last looked whether there is something to tell
 	verdicts *winnow.Verdicts
 	gates    []string          // that may try servers, by name
 	tried    map[string]uint32 // the last round in which a server might be tried here
@@ -77,7 +79,8 @@
 	g.obeys(now)
 	f.mu.Lock()
 	reap, after := f.reap, f.no
-	due := reap != 0 && (now-f.toldAt >= tellEvery || reap != f.told)
+	due := reap != 0 && (now-f.lookedAt >= tellEvery || reap != f.told)
+	calm := reap == f.told && now-f.toldAt < calmEvery && (f.verdicts == nil || len(f.verdicts.List) == 0)
 	most := winnow.MostTold
 	if reap != f.told {
 		after, most = 0, winnow.MostWhole
@@ -87,7 +90,11 @@
 		return
 	}
 	s, next := g.estate.Noted(after, most)
-	if s == nil || c.Send(&furrow.Frame{Sheaf: s.Pack()}) != nil {
+	f.mu.Lock()
+	f.lookedAt = now
+	more := reap == f.told
+	f.mu.Unlock()
+	if s == nil || more && (len(s.Ears) == 0 || calm && !s.Accuses()) || c.Send(&furrow.Frame{Sheaf: s.Pack()}) != nil {
 		return
 	}
 	f.mu.Lock()
--- a/internal/winnow/pack.go
+++ b/internal/winnow/pack.go
@@ -56,6 +56,14 @@
 // recordsBefore is how much rather a record's ear is told than a search's.
 const recordsBefore = 4
 
+// Accuses tells whether something in it speaks against a server.
+func (s *Sheaf) Accuses() bool {
+	return slices.ContainsFunc(s.Ears, func(e Ear) bool {
+		bad, _ := e.Counts.weigh()
+		return bad > 0
+	})
+}
+
 // Part is what of a Sheaf is about some servers; nil where nothing is.
 func (s *Sheaf) Part(mine func(server string) bool) *Sheaf {
 	p := *s
--- a/internal/winnow/pack_test.go
+++ b/internal/winnow/pack_test.go
@@ -66,7 +66,7 @@
 
 // Each region of a service has its own bound, and what is closed counts neither way.
 func TestBoundByRegion(t *testing.T) {
-	servers := []Server{{ID: "a", Service: "loans", Region: "n"}, {ID: "b", Service: "loans", Region: "n"}, {ID: "c", Service: "loans", Region: "s"},
+	servers := []Server{{ID: "a", Service: "loans", Region: "n"}, {ID: "b", Service: "loans", Region: "n"}, {ID: "e", Service: "loans", Region: "n"}, {ID: "c", Service: "loans", Region: "s"},
 		{ID: "d", Service: "loans", Region: "n", Closed: true}}
 	list := Bound(servers, []Verdict{{Server: "a", Level: UnfitRecord}, {Server: "c", Level: UnfitRecord}, {Server: "d", Level: UnfitAll}})
 	assert.Equal(t, list[0].Level, UnfitRecord)
