Leave out the build that edits Go's run time

Cause: seedbed exact copied and changed files of another project's source, which is not to be brought in; and it bound the model to one version of Go. Ruled out: keeping it outside of the usual build, as the source is read and built all the same.

--- a/cmd/seedbed/main.go
+++ b/cmd/seedbed/main.go
@@ -57,7 +57,7 @@
 			&cli.IntFlag{Name: "jobs", Usage: "days played at a time, each in a process with one processor", Value: runtime.NumCPU(), Destination: &a.jobs},
 			&cli.BoolFlag{Name: "json", Usage: "write results as JSON, one a line", Destination: &a.json},
 		},
-		Commands: []*cli.Command{a.run(), a.draw(), a.hunt(), a.shrink(), a.exact(), a.sweep(), a.compare(), a.plot()},
+		Commands: []*cli.Command{a.run(), a.draw(), a.hunt(), a.shrink(), a.sweep(), a.compare(), a.plot()},
 	}
 	for _, c := range root.Commands {
 		c.OnUsageError = root.OnUsageError
@@ -85,7 +85,7 @@
 	if a.jobs < 1 {
 		return nil, cli.Exit(fmt.Sprintf("--jobs: %d: at least 1", a.jobs), badInput)
 	}
-	return &model.Pool{Exe: exe, Jobs: a.jobs, Fresh: model.Exact()}, nil
+	return &model.Pool{Exe: exe, Jobs: a.jobs}, nil
 }
 
 // load reads days' files.
--- a/cmd/seedbed/run.go
+++ b/cmd/seedbed/run.go
@@ -13,18 +13,6 @@
 	"pepperfall.example/pepperfall/internal/weather"
 )
 
-// exact builds the program that plays equal days alike.
-func (a *app) exact() *cli.Command {
-	var out string
-	return &cli.Command{
-		Name: "exact", Usage: "builds, in this module's folder, the program that plays equal days alike",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "out", Usage: "`FILE` of the program", Value: "bin/seedbed-exact", Destination: &out}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			return model.BuildExact(ctx, "./cmd/seedbed", out)
-		},
-	}
-}
-
 // run plays days from files.
 func (a *app) run() *cli.Command {
 	var times int
