Ask elsewhere where the answer of a repeatable request was lost

Ruled out: the budget of further tries (45 used of some 1,500). Change: on the system's wire a repeatable request is called back at six times its predicted age in that case. The old wire decides as before.

--- a/policy/field_test.go
+++ b/policy/field_test.go
@@ -49,6 +49,7 @@
 	ids     RequestID
 	tries   map[RequestID]int
 	sends   []sending
+	recalls map[RequestID]time.Duration // when attempts were called back
 }
 
 type arrival struct {
@@ -64,9 +65,11 @@
 	again bool
 }
 
+const lostOnTheWay Code = -1 // for a meadow's code: no answer comes
+
 func newMeadow(n int, seed uint64, servers []Server, plans ...Plan) *meadow {
 	m := &meadow{now: time.Second, rnd: rand.New(rand.NewPCG(seed, 1)), servers: servers, plans: plans, takes: 30 * ms,
-		tries: map[RequestID]int{}, code: func(Send) Code { return OK }}
+		tries: map[RequestID]int{}, recalls: map[RequestID]time.Duration{}, code: func(Send) Code { return OK }}
 	m.gs, m.told = make([]*Gateway, n), make([]int, n)
 	for i := range n {
 		m.start(i, 0)
@@ -109,8 +112,13 @@
 			m.tries[a.ID]++
 			m.sends = append(m.sends, sending{m.now, i, a, k > 0})
 			code := m.code(a)
+			if code == lostOnTheWay {
+				continue
+			}
 			m.way = append(m.way, arrival{m.now + m.takes, m.gs[i], Outcome{ID: a.ID, Attempt: k, Server: a.Server,
 				Code: code, Latency: m.takes, Over: code == OK}})
+		case Cancel:
+			m.recalls[a.ID] = m.now
 		}
 	}
 }
@@ -425,6 +433,34 @@
 	assert.Assert(t, hits <= 10, "%d of %d to a server that fails", hits, len(m.sends)/2)
 }
 
+// An answer that is lost at a server that answers all others is not waited for to the end, if its request may run again;
+// one that may not, is.
+func TestLostAnswerIsAskedAgain(t *testing.T) {
+	m := newMeadow(1, 1, fieldServers(2, "s"))
+	m.do(0, fieldTerms())
+	lost := map[RequestID]string{}
+	n := 0
+	m.code = func(s Send) Code {
+		if n++; n > 400 && n%100 < 2 && m.tries[s.ID] == 1 { // one of each class
+			lost[s.ID] = []string{"safe", "once"}[int(s.ID)%2]
+			return lostOnTheWay
+		}
+		return OK
+	}
+	m.pass(10*time.Second, func() {
+		m.ask(0, Request{Customer: "t", Class: []string{"safe", "once"}[int(m.ids+1)%2], Service: "s", Tries: 2})
+	})
+	assert.Assert(t, len(lost) >= 8, "%d lost", len(lost))
+	recalled := map[string]int{}
+	for _, s := range m.sends {
+		if at, is := m.recalls[s.ID]; is && !s.again {
+			recalled[lost[s.ID]]++
+			assert.Assert(t, at-s.at < time.Second, "%v", at-s.at)
+		}
+	}
+	assert.Assert(t, recalled["safe"] >= 3 && recalled["once"] == 0 && recalled[""] == 0, "%v", recalled)
+}
+
 // One that is given another number is no peer of its own, one that has gone is none either, and a request that was
 // read before it heard of more gateways gets no larger part.
 func TestAnotherNumber(t *testing.T) {
--- a/policy/judge.go
+++ b/policy/judge.go
@@ -145,7 +145,8 @@
 		}
 		age := (g.now - r.sentAt).Seconds() / max(g.predict(s, r.cl), leastLate*r.cl.Aim.Seconds())
 		v := g.record(s, r.cl)
-		if age < overdue || r.over || r.quit || r.stream || v != nil && v.okAt > r.sentAt {
+		patient := v != nil && v.okAt > r.sentAt && (g.set.Field == nil || r.effect != Safe || age < lostAnswer)
+		if age < overdue || r.over || r.quit || r.stream || patient {
 			continue
 		}
 		r.quit = true
--- a/policy/values.go
+++ b/policy/values.go
@@ -40,6 +40,7 @@
 
 	leastLate               = 0.1       // an attempt is overdue after this part of its aim at the soonest,
 	overdue                 = 4.0       // when so many times as old as predicted
+	lostAnswer              = 6.0       // and when so many, where its server has answered others since
 	sightWeight, sightLimit = 0.2, 0.45 // weight of a failure, average that puts a server out of use
 	trialWorth              = 0.6       // what a good trial leaves of a server's failures
 
