--- a/policy/judge.go
+++ b/policy/judge.go
@@ -145,8 +145,8 @@
 		}
 		age := (g.now - r.sentAt).Seconds() / max(g.predict(s, r.cl), leastLate*r.cl.Aim.Seconds())
 		v := g.record(s, r.cl)
-		patient := v != nil && v.okAt > r.sentAt && (g.set.Field == nil || r.effect != Safe || age < lostAnswer)
-		if age < overdue || r.over || r.quit || r.stream || patient {
+		patient := g.set.Field == nil || r.effect != Safe || age < lostAnswer // where others were answered since
+		if age < overdue || r.over || r.quit || r.stream || patient && v != nil && v.okAt > r.sentAt {
 			continue
 		}
 		r.quit = true
