--- a/policy/judge.go
+++ b/policy/judge.go
@@ -145,7 +145,7 @@
 		}
 		age := (g.now - r.sentAt).Seconds() / max(g.predict(s, r.cl), leastLate*r.cl.Aim.Seconds())
 		v := g.record(s, r.cl)
-		patient := g.set.Field == nil || r.effect != Safe || age < lostAnswer // where others were answered since
+		patient := g.set.Field == nil || r.effect != Safe || age < lostAnswer // if others were since
 		if age < overdue || r.over || r.quit || r.stream || patient && v != nil && v.okAt > r.sentAt {
 			continue
 		}
