Log agents that stay behind, stale proxies and replicas out of touch

An agent now logs, with what it knows of each replica, that nobody confirms what its proxy has in force; a replica logs agents that stay behind what is decided, whether they follow it and for how long it has owed them, and that it has lost the majority itself. No logic changed.

--- a/internal/control/hands.go
+++ b/internal/control/hands.go
@@ -25,6 +25,7 @@
 	sum   uint32        // of that version's text
 	packs bool          // it can unpack lists
 	owes  time.Duration // since when it is owed the configuration; 0: it is not
+	lags  lag           // behind the decided configuration, as it says
 
 	list   *furrow.Servers // as told last; nil: not told. Shared with others
 	census *furrow.Census  // the same
@@ -224,7 +225,9 @@
 		b.mu.Lock()
 		for h := range b.hands {
 			b.pay(h, h.lead)
+			b.reportLag(h)
 		}
+		b.reportContact()
 		if b.recount(); b.told != b.census {
 			if wait := b.owed(); wait > 0 {
 				next = min(next, wait)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -63,12 +63,13 @@
 	catching   bool                     // a configuration is being fetched
 	joining    joining                  // the change of voters that is wanted
 
-	plot   *furrow.Plot           // decided
-	parsed *plot.Plot             // the same
-	zones  map[string]furrow.Zone // orders, decided
-	fresh  time.Duration          // when the round began that last confirmed what is decided
-	ever   bool                   // one did
-	locks  lockSeen
+	plot      *furrow.Plot           // decided
+	parsed    *plot.Plot             // the same
+	zones     map[string]furrow.Zone // orders, decided
+	fresh     time.Duration          // when the round began that last confirmed what is decided
+	ever      bool                   // one did
+	lostTouch time.Duration          // when it was logged last that none does
+	locks     lockSeen
 
 	list    *furrow.Servers // the newest that is known
 	stamp   int64           // of the newest reading, which may have told the same
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -48,6 +48,7 @@
 	owed    Parts // news that the gate is not told yet
 	waits   bool  // somebody waits to tell them
 	fresh   Fresh
+	stale   staleness
 	seeds   []string
 	barns   map[string]*barn // by address
 	gate    *gate            // nil: none is connected
@@ -123,6 +124,7 @@
 	h.lead.Many = h.state.Gates() > manyGates
 	h.choose()
 	h.hold()
+	h.reportStale()
 	// Barns of longer beats are asked in turn, so that some word is always young.
 	h.ticks++
 	for i, addr := range slices.Sorted(maps.Keys(h.barns)) {
--- /dev/null
+++ b/internal/hand/stale.go
@@ -0,0 +1,52 @@
+package hand
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Times of reporting that nobody confirms what the proxy has in force.
+const (
+	staleAfter = 2 * time.Second
+	staleAgain = 5 * time.Second // between two reports of one episode
+)
+
+// errStale is logged while no replica confirms what the proxy has in force.
+var errStale = errors.New("no replica confirms what the proxy has in force")
+
+// staleness is the present episode without a confirmation.
+type staleness struct {
+	reported time.Duration // when it was logged last; 0: not in this episode
+}
+
+// reportStale logs, with what is known of each replica, that what the proxy has
+// in force has not been confirmed for long; the mutex is held.
+func (h *Hand) reportStale() {
+	now := h.now()
+	if h.gate == nil || !h.fresh.ever || now-h.fresh.confirmed < staleAfter {
+		h.stale.reported = 0
+		return
+	}
+	if h.stale.reported > 0 && now-h.stale.reported < staleAgain {
+		return
+	}
+	h.stale.reported = now
+	held, _ := h.state.Held()
+	h.log.Error(errStale, "stale configuration", "for", now-h.fresh.confirmed, "held", held, "in_force", h.gate.gen,
+		"upstream", h.lead.Chosen(), "replicas", h.lead.describe(now))
+}
+
+// describe tells in words what is known of each replica that is connected.
+func (l *Lead) describe(now time.Duration) string {
+	var all []string
+	for _, addr := range slices.Sorted(maps.Keys(l.barns)) {
+		c := l.barns[addr]
+		all = append(all, fmt.Sprintf("%s heard=%v ago fresh=%v good=%v", addr, (now-c.heard).Round(time.Millisecond), c.fresh, c.good))
+	}
+	return strings.Join(all, ", ")
+}
