Tell agents by how long they are behind, and judge replicas by their own touch

(1) What another replica owes an agent was counted from the newest change, so a change each 500 ms put it off for ever. (2) A replica's word counted as fresh only where the agent's proxy had its newest configuration in force; so to a proxy that is behind, the good replicas looked as stale as the one cut off, and the agent stayed with that.

Change: internal/control/delivery (no I/O) remembers which configurations were in force and until when. Others tell an agent what it lacks 400 ms and a beat after the first change that it lacks. A Pong says apart whether the replica is in touch with a majority and up to which moment what the proxy has in force was the newest: a version that has been overtaken stays confirmed up to then and no further. Agents choose by the first alone. Frames' version 4.

--- a/internal/control/compare.go
+++ b/internal/control/compare.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/control/delivery"
 	"pepperfall.example/pepperfall/internal/control/quorum"
 	"pepperfall.example/pepperfall/internal/control/state"
 	"pepperfall.example/pepperfall/internal/furrow"
@@ -58,9 +59,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	base := b.contents.Record.Decided
-	if quorum.IsLatest(base, reports) {
-		b.fresh, b.ever = max(b.fresh, began), true
-	}
+	b.noteContact(base, reports, began)
 	for id, m := range reports {
 		if l := b.linkTo(id); l != nil && m.Version < base.Version {
 			b.tellDecided(l)
@@ -72,6 +71,24 @@
 	b.forget()
 }
 
+// noteContact takes in what a round that began at a moment says of this replica's
+// own standing; the mutex is held. One that a majority answers is in touch unless it
+// lacks what somebody knew in the round before. That nothing newer is decided can't
+// be told while the next version is being accepted.
+func (b *Replica) noteContact(base state.State, reports map[string]quorum.Report, began time.Duration) {
+	if quorum.IsLatest(base, reports) {
+		b.fresh = delivery.Confirmation{Ever: true, At: max(b.fresh.At, began)}
+	}
+	answered := func(id string) bool { _, ok := reports[id]; return ok }
+	if quorum.IsMajority(base.Voters, answered) && base.Version >= b.newest {
+		b.touched = delivery.Confirmation{Ever: true, At: began}
+	}
+	b.newest = 0
+	for _, m := range reports {
+		b.newest = max(b.newest, m.Version)
+	}
+}
+
 // finish has a value decided, or found not to be, that somebody accepted and that
 // nobody has seen to for a whole round; the mutex is held.
 func (b *Replica) finish(base state.State, reports map[string]quorum.Report) {
--- /dev/null
+++ b/internal/control/delivery/history.go
@@ -0,0 +1,107 @@
+// Package delivery knows, without I/O, which configurations were in force lately
+// and until when: so a replica can tell for how long an agent has been behind, and
+// up to which moment what a proxy has in force was the newest.
+package delivery
+
+import "time"
+
+// Bounds of what is remembered of configurations that are not in force any more.
+const (
+	keepFor  = 30 * time.Second
+	keepMost = 512
+)
+
+// Version names a configuration.
+type Version struct {
+	Gen uint64 // its number; 0: none
+	Sum uint32 // of its text
+}
+
+// Confirmation is the newest moment at which a majority is known to have held
+// nothing newer than what was decided here. Moments are of one steady clock.
+type Confirmation struct {
+	Ever bool
+	At   time.Duration
+}
+
+// History is the configuration in force and those before it.
+type History struct {
+	current Version
+	since   time.Duration // when current was learnt
+	past    []superseded  // in the order of their numbers
+}
+
+// superseded is a configuration that was in force here.
+type superseded struct {
+	version   Version
+	at        time.Duration // when a newer one was learnt
+	confirmed Confirmation  // as of then
+}
+
+// Decide takes in that a configuration is in force from now on. Its number has to
+// be above the one before.
+func (h *History) Decide(v Version, now time.Duration, confirmed Confirmation) {
+	if h.current.Gen > 0 {
+		h.past = append(h.past, superseded{h.current, now, confirmed})
+	}
+	h.current, h.since = v, now
+	old := 0
+	for old < len(h.past) && now-h.past[old].at > keepFor {
+		old++
+	}
+	if h.past = h.past[old:]; len(h.past) > keepMost {
+		h.thin()
+	}
+}
+
+// thin forgets every other configuration. A holder of one that is forgotten counts as
+// holding the one before: as behind for longer, and as confirmed up to an earlier moment.
+func (h *History) thin() {
+	kept := h.past[:0]
+	for i := 0; i < len(h.past); i += 2 {
+		kept = append(kept, h.past[i])
+	}
+	h.past = kept
+}
+
+// Current is the configuration in force; the zero Version: none is.
+func (h *History) Current() Version { return h.current }
+
+// Behind tells whether a holder of v lacks the configuration in force, and since
+// when: the moment at which the first one above v was learnt, or the earliest that
+// is remembered.
+func (h *History) Behind(v Version) (since time.Duration, is bool) {
+	switch i := h.last(v.Gen); {
+	case h.current.Gen == 0 || v.Gen > h.current.Gen || v == h.current:
+		return 0, false
+	case i >= 0:
+		return h.past[i].at, true
+	case len(h.past) > 0:
+		return h.past[0].at, true
+	}
+	return h.since, true
+}
+
+// Confirmed is the newest moment at which nothing above v was decided, given that
+// of the configuration in force: a proxy that has v in force was up to date then. Of
+// another text under a number that was decided there is none.
+func (h *History) Confirmed(v Version, newest Confirmation) Confirmation {
+	if h.current.Gen == 0 || v.Gen > h.current.Gen || v == h.current {
+		return newest
+	}
+	i := h.last(v.Gen)
+	if i < 0 || v.Gen == h.current.Gen || h.past[i].version.Gen == v.Gen && h.past[i].version != v {
+		return Confirmation{}
+	}
+	return h.past[i].confirmed
+}
+
+// last is the index of the newest superseded configuration whose number is gen at
+// most; -1: there is none.
+func (h *History) last(gen uint64) int {
+	i := len(h.past) - 1
+	for i >= 0 && h.past[i].version.Gen > gen {
+		i--
+	}
+	return i
+}
--- a/internal/control/force.go
+++ b/internal/control/force.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/control/delivery"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/plot"
 )
@@ -15,7 +16,7 @@
 	if b.plot != nil && p.Gen <= b.plot.Gen {
 		return
 	}
-	b.plot = p
+	b.enter(p)
 	b.background(func(context.Context) { // a large one takes long
 		parsed, err := plot.Parse(p.Body)
 		b.mu.Lock()
@@ -26,11 +27,16 @@
 	})
 	b.log.Info("configuration in force", "gen", p.Gen)
 	for h := range b.hands {
-		b.owe(h)
-		b.pay(h, h.lead)
+		b.deliver(h)
 	}
 }
 
+// enter notes a decided configuration as the one in force; the mutex is held.
+func (b *Replica) enter(p *furrow.Plot) {
+	b.plot = p
+	b.versions.Decide(delivery.Version{Gen: p.Gen, Sum: p.Sum()}, b.now(), b.fresh)
+}
+
 // confirmZone does the same with an order about a zone.
 func (b *Replica) confirmZone(z furrow.Zone) {
 	if !z.Over(b.zones[z.Zone]) {
--- a/internal/control/hands.go
+++ b/internal/control/hands.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"pepperfall.example/pepperfall/internal/control/delivery"
 	"pepperfall.example/pepperfall/internal/drove"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/winnow"
@@ -16,16 +17,14 @@
 	conn  *furrow.Conn
 	name  string
 	life  int64
-	no    uint64        // of the last change sent
-	ack   uint64        // of the last change that is in force at its gate
-	gen   uint64        // the version in force there
-	lead  bool          // it wants servers and census from here
-	every time.Duration // between two of its Pings, as it says
-	held  uint64        // the version that it holds, as it says
-	sum   uint32        // of that version's text
-	packs bool          // it can unpack lists
-	owes  time.Duration // since when it is owed the configuration; 0: it is not
-	lags  lag           // behind the decided configuration, as it says
+	no    uint64 // of the last change sent
+	ack   uint64 // of the last change that is in force at its gate
+	gen   uint64 // the version in force there
+	lead  bool   // it wants servers and census from here
+	packs bool   // it can unpack lists
+
+	agent    delivery.Agent // what decides when it is told the configuration
+	reported time.Duration  // when it was logged last that it stays behind; 0: it was not
 
 	list   *furrow.Servers // as told last; nil: not told. Shared with others
 	census *furrow.Census  // the same
@@ -46,13 +45,12 @@
 
 // attend runs a session with a hand.
 func (b *Replica) attend(ctx context.Context, c *furrow.Conn, hello *furrow.Hello) error {
-	h := &hand{conn: c, name: hello.Name, life: hello.Life}
+	h := &hand{conn: c, name: hello.Name, life: hello.Life, agent: delivery.Agent{Since: b.now()}}
 	b.mu.Lock()
 	b.hands[h] = true
 	h.seat = b.fit.seat()
 	b.arrive(*hello)
 	h.change(&furrow.Change{Zones: b.orders(h.name)}) // its first Ping tells whether it lacks the configuration
-	b.owe(h)
 	b.mu.Unlock()
 	defer func() {
 		b.mu.Lock()
@@ -122,8 +120,8 @@
 	}
 	g.heard = now
 	if p := f.Ping; p != nil {
-		if g.every = p.Every; h.every != p.Every {
-			h.every = p.Every
+		if g.every = p.Every; h.agent.Every != p.Every {
+			h.agent.Every = p.Every
 			h.conn.SetSilence(furrow.Suits(p.Every))
 		}
 		if h.gen = p.Gen; g.ready != p.Ready {
@@ -145,14 +143,10 @@
 		if p.Heads != nil {
 			g.heads, g.headsAt = p.Heads[:min(len(p.Heads), drove.MostHosts)], now
 		}
-		h.held, h.sum, h.packs = p.Held, p.Sum, p.Packs
-		b.pay(h, p.Lead)
-		// Word is fresh where the newest is in force: it may still be on its way there.
-		pong := &furrow.Pong{Sent: p.Sent, Fresh: b.ever && inForce(p, b.plot), Want: now < b.ops.wants, Asks: now < b.ops.asks,
-			Reap: b.fit.reap(h)}
-		if b.ever {
-			pong.Age = now - b.fresh
-		}
+		h.packs, h.agent.Held, h.agent.Follows = p.Packs, delivery.Version{Gen: p.Held, Sum: p.Sum}, p.Lead
+		b.deliver(h)
+		pong := b.pong(p, now)
+		pong.Want, pong.Asks, pong.Reap = now < b.ops.wants, now < b.ops.asks, b.fit.reap(h)
 		_ = h.conn.Send(&furrow.Frame{Pong: pong})
 		b.lead(h, p.Lead)
 	}
@@ -174,30 +168,34 @@
 	}
 }
 
-// inForce tells whether a ping says that a gate has this configuration, or a higher one.
-func inForce(p *furrow.Ping, held *furrow.Plot) bool {
-	return held == nil || p.Gen > held.Gen || p.Gen == held.Gen && p.Held == held.Gen && p.Sum == held.Sum()
+// pong tells how fresh what a proxy has in force is, and whether this replica is in
+// touch with a majority; the mutex is held.
+func (b *Replica) pong(p *furrow.Ping, now time.Duration) *furrow.Pong {
+	pong := &furrow.Pong{Sent: p.Sent, InTouch: b.touched.Ever}
+	if b.touched.Ever {
+		pong.TouchAge = now - b.touched.At
+	}
+	if at := b.versions.Confirmed(inForce(p), b.fresh); at.Ever {
+		pong.Fresh, pong.Age = true, now-at.At
+	}
+	return pong
 }
 
-// payWithin and a beat after it is known, a hand is told what its lead has not told it.
-const payWithin = 400 * time.Millisecond
-
-// owe notes that a hand is to have the configuration; the mutex is held.
-func (b *Replica) owe(h *hand) {
-	if h.owes = 0; b.plot != nil {
-		h.owes = max(b.now(), 1)
+// inForce is what a ping says that a proxy has in force. The text's sum is that of
+// what the agent holds: where that is another configuration, the one in force counts
+// as any above the number before it.
+func inForce(p *furrow.Ping) delivery.Version {
+	if p.Gen > 0 && p.Held != p.Gen {
+		return delivery.Version{Gen: p.Gen - 1}
 	}
+	return delivery.Version{Gen: p.Gen, Sum: p.Sum}
 }
 
-// pay tells a hand the configuration that it is owed: at once where this barn is its lead, and where another
-// has not told it within a time. The mutex is held.
-func (b *Replica) pay(h *hand, leads bool) {
-	switch {
-	case h.owes == 0:
-	case h.held > b.plot.Gen, h.held == b.plot.Gen && h.sum == b.plot.Sum():
-		h.owes = 0
-	case leads, b.now()-h.owes >= payWithin+h.every:
-		h.owes = 0
+// deliver sends an agent the configuration in force where that is due; the mutex is
+// held.
+func (b *Replica) deliver(h *hand) {
+	if b.plot != nil && b.versions.Due(&h.agent, b.now()) {
+		h.agent.Sent = b.versions.Current()
 		h.change(&furrow.Change{Plot: b.plot})
 	}
 }
@@ -224,7 +222,7 @@
 		next := lookEvery
 		b.mu.Lock()
 		for h := range b.hands {
-			b.pay(h, h.lead)
+			b.deliver(h)
 			b.reportLag(h)
 		}
 		b.reportContact()
--- a/internal/control/operators.go
+++ b/internal/control/operators.go
@@ -197,8 +197,8 @@
 		Voters: len(decided.Voters), Majority: quorum.Majority(len(decided.Voters)),
 		Held: version(highest(b.contents.Record.Report())), Confirmed: version(decided.Config), FreshMS: -1,
 		Barns: []api.BarnView{}, Gates: []api.GateView{}, Zones: []api.ZoneOrder{}, Nodes: []api.NodeOrder{}}
-	if b.ever {
-		s.FreshMS = (now - b.fresh).Milliseconds()
+	if b.fresh.Ever {
+		s.FreshMS = (now - b.fresh.At).Milliseconds()
 	}
 	if trouble != nil {
 		s.Disk = trouble.Error()
--- a/internal/control/register.go
+++ b/internal/control/register.go
@@ -44,8 +44,9 @@
 // enforce puts in force what was decided in earlier lives; nobody else runs yet.
 func (b *Replica) enforce() {
 	d := b.contents.Record.Decided
-	if b.plot = b.contents.Configs[d.Config.Digest]; b.plot != nil {
-		b.parsed, _ = plot.Parse(b.plot.Body)
+	if p := b.contents.Configs[d.Config.Digest]; p != nil {
+		b.enter(p)
+		b.parsed, _ = plot.Parse(p.Body)
 	}
 	for _, o := range d.Orders {
 		b.confirmZone(o)
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"pepperfall.example/pepperfall/internal/control/delivery"
 	"pepperfall.example/pepperfall/internal/deed"
 	"pepperfall.example/pepperfall/internal/drove"
 	"pepperfall.example/pepperfall/internal/furrow"
@@ -63,13 +64,15 @@
 	catching   bool                     // a configuration is being fetched
 	joining    joining                  // the change of voters that is wanted
 
-	plot      *furrow.Plot           // decided
-	parsed    *plot.Plot             // the same
-	zones     map[string]furrow.Zone // orders, decided
-	fresh     time.Duration          // when the round began that last confirmed what is decided
-	ever      bool                   // one did
-	lostTouch time.Duration          // when it was logged last that none does
-	locks     lockSeen
+	plot     *furrow.Plot           // decided
+	parsed   *plot.Plot             // the same
+	zones    map[string]furrow.Zone // orders, decided
+	fresh    delivery.Confirmation  // of what is decided: when the round began that told so last
+	touched  delivery.Confirmation  // of a majority that this replica is not behind: when the round began that heard it last
+	newest   uint64                 // version that anybody reported in the round before
+	versions delivery.History       // of configurations in force here
+	alarmed  time.Duration          // when it was logged last that this replica is out of touch
+	locks    lockSeen
 
 	list    *furrow.Servers // the newest that is known
 	stamp   int64           // of the newest reading, which may have told the same
--- a/internal/furrow/message.go
+++ b/internal/furrow/message.go
@@ -12,7 +12,7 @@
 )
 
 // Version is the version of the frames; both ends of a connection must have the same.
-const Version = 3
+const Version = 4
 
 // Role says what a process is to the others.
 type Role string
@@ -85,11 +85,14 @@
 // after Sent: so the asker may count ages from Sent, however long the way took.
 type Pong struct {
 	Sent  time.Duration // the Ping's
-	Age   time.Duration // how long ago, before this Pong was sent, a majority of the core was asked that confirmed what is held
+	Age   time.Duration // how long ago, before this Pong was sent, a majority of the core was asked that knew of nothing newer than the asker's proxy has in force
 	Fresh bool          // whether one ever did
 	Want  bool          // figures are wanted in the next Pings
 	Asks  bool          // and what was Asked
 	Reap  uint64        // evidence on servers is wanted: all of it once the number changes; 0: it is not
+
+	InTouch  bool          // replica to agent: a majority of the core has ever answered the replica, and it lacked nothing
+	TouchAge time.Duration // how long ago, before this Pong was sent, it was asked
 }
 
 // Change is numbered news. Numbers rise by one on each connection; parts that
--- a/internal/hand/lead.go
+++ b/internal/hand/lead.go
@@ -12,13 +12,14 @@
 // Times of the lead.
 const (
 	hearsFor  = 800 * time.Millisecond // a barn is heard without a word, and at least two beats
-	freshFor  = 1500 * time.Millisecond
+	touchFor  = 1500 * time.Millisecond
 	backAfter = 5 * time.Second // a better one has to have been good
 )
 
-// Lead chooses the one barn that tells servers and census: of those heard and
-// fresh one in the own zone, else in the own region, else any. Barns go by
-// address, times are of one steady clock.
+// Lead chooses the one barn that tells servers and census: of those heard and in
+// touch with a majority one in the own zone, else in the own region, else any.
+// That the proxy lacks something says nothing about a barn. Barns go by address,
+// times are of one steady clock.
 type Lead struct {
 	Self   furrow.Hello
 	Many   bool // gates: beats are longer
@@ -33,7 +34,7 @@
 	up      time.Duration
 	heard   time.Duration // or chosen, which quickens its beats
 	ponged  bool
-	fresh   bool // by its last Pong
+	inTouch bool // by its last Pong it is in touch with a majority
 	good    bool // heard and fresh
 	since   time.Duration
 	leaving bool
@@ -78,7 +79,7 @@
 	}
 	c.heard = now
 	if p := f.Pong; p != nil {
-		c.ponged, c.fresh = true, p.Fresh && p.Age < freshFor
+		c.ponged, c.inTouch = true, p.InTouch && p.TouchAge < touchFor
 	}
 	c.leaving = c.leaving || f.Leaving != nil
 }
@@ -105,7 +106,7 @@
 	best, heard := "", ""
 	for addr, c := range l.barns {
 		hears := l.hears(addr, now)
-		good := hears && c.fresh
+		good := hears && c.inTouch
 		if good && !c.good {
 			c.since = now
 		}
--- a/internal/hand/stale.go
+++ b/internal/hand/stale.go
@@ -46,7 +46,7 @@
 	var all []string
 	for _, addr := range slices.Sorted(maps.Keys(l.barns)) {
 		c := l.barns[addr]
-		all = append(all, fmt.Sprintf("%s heard=%v ago fresh=%v good=%v", addr, (now-c.heard).Round(time.Millisecond), c.fresh, c.good))
+		all = append(all, fmt.Sprintf("%s heard=%v ago in_touch=%v good=%v", addr, (now-c.heard).Round(time.Millisecond), c.inTouch, c.good))
 	}
 	return strings.Join(all, ", ")
 }
