Stop the work of servers for clients that have left

On the system's wire they do.

Change: a repeatable request's attempt is given up and its server's connection closed when its client has left; one that may run once runs on where it has been sent, and is not sent where it still waits for a connection (so far it went out whenever that came up). Clients are looked at every 100 ms, 200 before.

--- a/internal/node/estate.go
+++ b/internal/node/estate.go
@@ -25,7 +25,7 @@
 	estateIdle   = 6 * time.Second // an idle connection to an app server is used again within it
 	estateMail   = 40.0            // datagrams a second from each to all others
 	estateReport = 250 * time.Millisecond
-	estateLook   = 200 * time.Millisecond // for clients that have gone away
+	estateLook   = 100 * time.Millisecond // for clients that have gone away: servers have to stop within half a second
 	freshMargin  = 600 * time.Millisecond // control's word is held for old so long before the rules do
 	clientWay    = 40 * time.Millisecond  // an answer is decided so long before the client's deadline
 	farZone      = 5 * time.Millisecond   // what a server of another zone is held to cost beside its latency
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -246,8 +246,7 @@
 }
 
 // look finds the clients that have closed their connections. Nothing more is
-// sent for them; an attempt that is out runs on, since the app server would
-// not stop either.
+// sent for them.
 func (l *loop) look() {
 	for id, c := range l.calls {
 		if c.conn == nil || world.Peek(c.conn) != world.PeekEnd {
@@ -258,6 +257,7 @@
 		} else {
 			l.forget(c)
 			c.final = &command{}
+			c.abandon()
 		}
 		l.decide(policy.Gone{ID: id})
 	}
@@ -297,6 +297,20 @@
 	}
 }
 
+// abandon gives up the attempt that is out for a client that has left. What may run
+// once runs on where it has been sent: that its answer is lost does not undo it. Servers
+// of the platform's wire don't stop when their connection closes, so there nothing is
+// gained.
+func (c *call) abandon() {
+	switch {
+	case c.estate == nil:
+	case c.effect == policy.Safe:
+		c.out.cancel()
+	default:
+		c.out.withdraw()
+	}
+}
+
 func (l *loop) members(m listed) {
 	if m.list == nil {
 		if l.mustAsk {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -104,6 +104,16 @@
 	}
 }
 
+// withdraw is cancel where nothing has been sent yet.
+func (a *attempt) withdraw() {
+	a.mu.Lock()
+	unsent := a.conn == nil
+	a.mu.Unlock()
+	if unsent {
+		a.cancel()
+	}
+}
+
 // recall is cancel for the sake of another attempt.
 func (a *attempt) recall() {
 	a.mu.Lock()
