--- a/internal/orchard/process.go
+++ b/internal/orchard/process.go
@@ -304,12 +304,12 @@
 	return n.whole(from, to) && o.settled(from, to)
 }
 
-// settled tells whether more than half of the core was whole all the while, and no trouble of the others began or ended
-// meanwhile. A trouble that lasts unsettles the core for a time only.
+// settled tells whether more than half of the core was whole all the while, no trouble of the others began or ended
+// meanwhile, and no more was lost than is to be borne. A trouble that lasts unsettles the core for a time only.
 func (o *Orchard) settled(from, to time.Time) bool {
 	whole, cores := 0, o.Cores()
-	for _, c := range cores {
-		if c.turns(from, to) {
+	for i, c := range cores {
+		if c.turns(from, to) || slices.ContainsFunc(cores[:i], func(d *Node) bool { return touches(o.rests(c, d), from, to) }) {
 			return false
 		}
 		if c.whole(from, to) {
@@ -319,6 +319,54 @@
 	return 2*whole > len(cores)
 }
 
+// rests are the stretches in which service may rest since two core machines of different zones were lost at once, which
+// is beyond what is to be borne: until recover_s after both are back. One is lost for sync_s after it is back.
+func (o *Orchard) rests(c, d *Node) (all []span) {
+	if c.Zone == d.Zone {
+		return nil
+	}
+	for _, x := range c.lost() {
+		for _, y := range d.lost() {
+			if !touches([]span{x}, y.from, y.last()) {
+				continue
+			}
+			rest := span{from: x.from}
+			if y.from.After(x.from) {
+				rest.from = y.from
+			}
+			if rest.to = x.to; y.last().After(x.last()) {
+				rest.to = y.to
+			}
+			if !rest.to.IsZero() {
+				rest.to = rest.to.Add(o.bounds.Recover)
+			}
+			all = append(all, rest)
+		}
+	}
+	return all
+}
+
+// lost are the stretches in which the node counts as lost.
+func (n *Node) lost() (all []span) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.harms {
+		if !s.to.IsZero() {
+			s.to = s.to.Add(n.o.bounds.Sync)
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// last is when a stretch ends; one that has not is taken to end long from now.
+func (s span) last() time.Time {
+	if s.to.IsZero() {
+		return time.Now().Add(time.Hour)
+	}
+	return s.to
+}
+
 // turns tells whether a trouble of the node began or ended in a stretch of time.
 func (n *Node) turns(from, to time.Time) bool {
 	n.mu.Lock()
