Serve the figures of replicas and proxies as text

A replica tells its version, for how long no majority has answered it, how many agents follow it and lack the configuration in force and for how long; a proxy its configuration, the age of its confirmation, and clients that left.

--- /dev/null
+++ b/internal/control/figures.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"time"
+
+	"pepperfall.example/pepperfall/internal/metrics"
+)
+
+// figures are what this replica tells of itself to whoever watches it.
+func (b *Replica) figures() []metrics.Figure {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	since := func(ever bool, at time.Duration) time.Duration {
+		if !ever {
+			return now
+		}
+		return now - at
+	}
+	behind, follow, longest := 0, 0, time.Duration(0)
+	for h := range b.hands {
+		if at, is := b.versions.Lag(&h.agent); is {
+			behind++
+			longest = max(longest, now-at)
+		}
+		if h.agent.Follows {
+			follow++
+		}
+	}
+	reached := 0
+	for _, v := range b.contents.Record.Decided.Voters {
+		if b.reaches(v.ID) {
+			reached++
+		}
+	}
+	return []metrics.Figure{
+		metrics.Count("control_state_version", "Version of the decided state.", int(b.contents.Record.Decided.Version)),
+		metrics.Count("control_configuration", "Number of the configuration in force.", int(b.versions.Current().Gen)),
+		metrics.Seconds("control_touch_age_seconds", "Since a majority last answered this replica, which lacked nothing.", since(b.touched.Ever, b.touched.At)),
+		metrics.Seconds("control_confirmed_age_seconds", "Since a majority last confirmed that nothing newer was decided.", since(b.fresh.Ever, b.fresh.At)),
+		metrics.Count("control_voters", "Replicas that vote.", len(b.contents.Record.Decided.Voters)),
+		metrics.Count("control_voters_reached", "Those of them that this one has heard lately, itself included.", reached),
+		metrics.Count("control_agents", "Agents that are connected.", len(b.hands)),
+		metrics.Count("control_agents_following", "Agents that follow this replica.", follow),
+		metrics.Count("control_agents_behind", "Agents that lack the configuration in force.", behind),
+		metrics.Seconds("control_agents_behind_longest_seconds", "For how long the one furthest behind has been so.", longest),
+	}
+}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -15,6 +15,7 @@
 	"pepperfall.example/pepperfall/internal/drove"
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/lease"
+	"pepperfall.example/pepperfall/internal/metrics"
 	"pepperfall.example/pepperfall/internal/plot"
 	"pepperfall.example/pepperfall/internal/statestore"
 	"pepperfall.example/pepperfall/internal/world"
@@ -128,6 +129,7 @@
 	b.jobs.Go(func() { b.compare(inner) })
 	b.jobs.Go(func() { b.watch(inner) })
 	b.jobs.Go(func() { b.duties(inner) })
+	b.jobs.Go(func() { metrics.Serve(inner, b.w, b.self.IP, metrics.PortControl, b.log, b.figures) })
 	if b.self.Judges {
 		b.jobs.Go(func() { b.judges(inner) })
 	}
--- /dev/null
+++ b/internal/gate/figures.go
@@ -0,0 +1,22 @@
+package gate
+
+import "pepperfall.example/pepperfall/internal/metrics"
+
+// figures are what this proxy tells of itself to whoever watches it.
+func (g *Gate) figures() []metrics.Figure {
+	f, ready := g.estate.Figures(), 0
+	if g.estate.Ready() {
+		ready = 1
+	}
+	counter := func(name, help string, n uint64) metrics.Figure {
+		return metrics.Figure{Name: name, Help: help, Kind: metrics.Counter, Value: float64(n)}
+	}
+	return []metrics.Figure{
+		metrics.Count("proxy_ready", "1 where clients are to come.", ready),
+		metrics.Count("proxy_configuration", "Number of the configuration in force.", int(g.gen.Load())),
+		metrics.Seconds("proxy_confirmed_age_seconds", "Since what is in force was last confirmed to be the newest.", g.estate.ConfirmedAge()),
+		metrics.Count("proxy_requests_open", "Requests that are not answered yet.", f.Open),
+		metrics.Count("proxy_client_connections", "Connections of clients.", f.Clients),
+		counter("proxy_client_left_total", "Requests whose client left before its answer.", g.estate.Left()),
+	}
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,6 +15,7 @@
 	"pepperfall.example/pepperfall/internal/furrow"
 	"pepperfall.example/pepperfall/internal/grove"
 	"pepperfall.example/pepperfall/internal/harvest"
+	"pepperfall.example/pepperfall/internal/metrics"
 	"pepperfall.example/pepperfall/internal/node"
 	"pepperfall.example/pepperfall/internal/plot"
 	"pepperfall.example/pepperfall/internal/verdict"
@@ -86,6 +87,7 @@
 	if err := g.serveReady(ctx); err != nil {
 		return err
 	}
+	go metrics.Serve(ctx, g.w, g.set.Self.IP, metrics.PortProxy, g.log, g.figures)
 	d := furrow.Dialer{Net: g.w, Log: g.log, Hello: furrow.Hello{Version: furrow.Version, Role: furrow.Gate, Name: g.set.Self.Name,
 		Life: g.life, IP: g.set.Self.IP, Zone: g.set.Self.Zone, Region: g.set.Self.Region, Front: g.set.Network.Listen.HTTP,
 		Peer: g.set.Peer(g.set.Self.IP)}}
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -85,5 +85,13 @@
 	return f
 }
 
+// ConfirmedAge is how long ago what is in force was last confirmed to be the newest; long where it never was.
+func (e *Estate) ConfirmedAge() time.Duration {
+	return e.estate.clock.now() - time.Duration(e.estate.confirmed.Load())
+}
+
+// Left is how many requests' clients have left before their answer.
+func (e *Estate) Left() uint64 { return e.node.loop.left.Load() }
+
 // Heads tells of the requests by host, where some routes are bound to regions.
 func (e *Estate) Heads() []drove.Heads { return e.estate.heads.Top(e.estate.clock.now()) }
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -63,6 +63,7 @@
 					}
 					assert.Equal(t, len(r.seen()), 1, "nothing is sent again for it")
 					r.in(func(l *loop) { assert.Equal(t, len(l.calls), 0) })
+					assert.Equal(t, r.Left(), uint64(1))
 				})
 			})
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"pepperfall.example/pepperfall/internal/verdict"
@@ -103,6 +104,7 @@
 	note    func(outcome) // of how attempts end; nil: nobody does
 
 	lookEvery time.Duration
+	left      atomic.Uint64 // requests whose client left before its answer
 
 	events chan any
 	over   chan struct{} // closed when the loop has ended: nothing is answered any more
@@ -259,6 +261,7 @@
 			c.final = &command{}
 			c.abandon()
 		}
+		l.left.Add(1)
 		l.decide(policy.Gone{ID: id})
 	}
 	heap.Push(&l.timers, &timer{at: l.clock.now() + l.lookEvery, look: true})
