--- a/internal/orchard/cut_test.go
+++ b/internal/orchard/cut_test.go
@@ -27,12 +27,12 @@
 			t.Run(fmt.Sprintf("every_%v_without_%d", every, cut), func(t *testing.T) {
 				t.Parallel()
 				Play(t, usual(), func(o *House) {
-					o.Pass(2 * contact) // agents have settled on whom they follow
+					o.Pass(contact) // agents have settled on whom they follow
 					alone, others := o.Core(cut), remove(o.Cores(), o.Core(cut))
 					o.Cut([]*Node{alone}, others, sim.Silent)
-					changeFor(t, o, 12*time.Second, every, others)
+					changeFor(t, o, 6*time.Second, every, others)
 					o.Join([]*Node{alone}, others)
-					o.Pass(contact)
+					o.Pass(time.Second)
 				})
 			})
 		}
