--- a/internal/control/hands.go
+++ b/internal/control/hands.go
@@ -182,14 +182,9 @@
 }
 
 // inForce is what a ping says that a proxy has in force. The text's sum is that of
-// what the agent holds: where that is another configuration, the one in force counts
-// as any above the number before it.
-func inForce(p *furrow.Ping) delivery.Version {
-	if p.Gen > 0 && p.Held != p.Gen {
-		return delivery.Version{Gen: p.Gen - 1}
-	}
-	return delivery.Version{Gen: p.Gen, Sum: p.Sum}
-}
+// what the agent holds: where that is another configuration, it fits none and nothing
+// is confirmed.
+func inForce(p *furrow.Ping) delivery.Version { return delivery.Version{Gen: p.Gen, Sum: p.Sum} }
 
 // deliver sends an agent the configuration in force where that is due; the mutex is
 // held.
--- a/internal/control/held_test.go
+++ b/internal/control/held_test.go
@@ -80,5 +80,5 @@
 			return r.versions.Confirmed(inForce(&furrow.Ping{Gen: gen, Held: gen, Sum: sum.Sum()}), r.fresh).At
 		}
 	}
-	return r.versions.Confirmed(inForce(&furrow.Ping{Gen: gen + 1}), r.fresh).At
+	return -1
 }
--- a/internal/orchard/server.go
+++ b/internal/orchard/server.go
@@ -254,10 +254,14 @@
 // connectionLook is how often a server that works looks whether its caller is still there.
 const connectionLook = 50 * time.Millisecond
 
-// workFor works on a request of a connection; it is false where that has gone before the end.
+// workFor works on a request of a connection, or till the server's end; it is false where the connection has gone before.
 func (s *Server) workFor(c net.Conn, work time.Duration) bool {
 	for until := time.Now().Add(work); time.Now().Before(until); {
-		s.o.Pause(s.process, min(connectionLook, time.Until(until)))
+		began, d := time.Now(), min(connectionLook, time.Until(until))
+		s.o.Pause(s.process, d)
+		if time.Since(began) < d {
+			return true // the server has ended
+		}
 		if gone(c) {
 			return false
 		}
