Move an overdue attempt only if another server can take its request

Cause: checkOverdue cancelled an attempt in favour of another one without asking whether any other server could take the request; with one usable server none could, and the request, held for longer than a quarter of its aim, was refused at once. By trace: k0n125 sent at 0 ms, connection closed at 497, 502 at 498.

Change: the attempt is cancelled only if pickServer, which picks for every attempt, has a server for it and time is left. The place there and the retry are kept until the attempt has ended; a request whose other server is gone or turns it away goes back to the server that it left, or waits for one until its deadline. onTick moves beside the other events, reportOutcome and renewLease beside the messages; pruning of sends to cold servers stood twice.

--- a/policy/admit.go
+++ b/policy/admit.go
@@ -104,6 +104,10 @@
 		return true
 	}
 	s := g.pickServer(r)
+	if s == nil && r.cancelled && r.lastServer != nil {
+		r.lastServer = nil // the server that was left is better than none
+		s = g.pickServer(r)
+	}
 	if s == nil {
 		g.noServerAt = g.now
 		return false
@@ -147,8 +151,13 @@
 	return g.now-r.arrivedAt > g.maxHold(r)
 }
 
-// maxHold returns how long a request may be held.
+// maxHold returns how long a request may be held: until its deadline, if its attempt was cancelled in favour
+// of another one and any server may still get it.
 func (g *Gateway) maxHold(r *request) time.Duration {
+	mayGetIt := func(s *server) bool { return s.State == Running && s.canServe(r) && r.mayGoTo(s) }
+	if r.movedFrom != nil && slices.ContainsFunc(g.serverList, mayGetIt) {
+		return r.deadline - r.arrivedAt
+	}
 	limit := time.Duration(holdShare * float64(r.class.LatencyTarget))
 	if r.remote {
 		limit -= 2 * g.meanReplyTime
@@ -197,7 +206,7 @@
 		g.serveWaiting()
 		return
 	}
-	if !g.sendHeld(c, 1<<30) || len(g.waiting) == 0 {
+	if !g.sendHeld(c, math.MaxInt) || len(g.waiting) == 0 {
 		return
 	}
 	others := slices.Clone(g.waiting)
@@ -235,44 +244,14 @@
 	g.lateness *= math.Exp(-dt.Seconds() / latenessDecayTime.Seconds())
 }
 
-func (g *Gateway) onTick() {
-	dt := g.now - g.lastTick
-	g.lastTick, g.tickCount = g.now, g.tickCount+1
-	g.emit(SetTimer{Token: "tick", After: g.tickInterval})
-	if g.tickCount%uint32(max(1, time.Second/g.tickInterval)) == 0 {
-		g.watchServers()
-		g.dropExpired()
-	}
-	g.recentSends *= math.Exp(-float64(dt) / float64(g.cfg.FailTime)) // unused with MultiService (FailTime 0)
-	g.sumPeerLoads()
-	g.adaptAdmission(dt)
-	g.recentMessages *= math.Exp(-dt.Seconds() / demandDecay.Seconds())
-	for _, s := range g.serverList {
-		// A server that gets no requests yields no new data: old measurements decay.
-		s.decay(min(1, dt.Seconds()/healthDecayTime.Seconds()))
-		g.checkOverdue(s)
-		if slices.Contains(s.watchers[:], g.cfg.Me) {
-			g.publishVerdict(s)
-		}
-	}
-	g.measureInFlight(dt)
-	g.refuseOverdue()
-	for _, c := range slices.Clone(g.waiting) {
-		if g.cfg.MultiService != nil {
-			g.serveWaiting()
-			break
-		}
-		n := 1 << 30
-		if c.plan.MaxInFlight > 0 {
-			others, held := g.peerCounts(c)
-			ownHeld := float64(len(c.held))
-			room := (float64(c.plan.MaxInFlight) - float64(c.inFlight) - others) * ownHeld / (ownHeld + held)
-			n = int(math.Floor(max(room, 0) + g.rng.Float64()))
-		}
-		g.sendHeld(c, n)
-	}
-	if g.cfg.CanMessagePeers && (!g.usesRoots || g.tickCount%rootReportTicks == 0) &&
-		g.tickCount%g.reportTicks == 0 && !g.borrows {
-		g.sendReports()
+// releasable returns how many of a customer's held requests this gateway may send now: its part, by what is
+// held, of the room under the cap.
+func (g *Gateway) releasable(c *customer) int {
+	if c.plan.MaxInFlight == 0 {
+		return math.MaxInt
 	}
+	others, held := g.peerCounts(c)
+	ownHeld := float64(len(c.held))
+	room := (float64(c.plan.MaxInFlight) - float64(c.inFlight) - others) * ownHeld / (ownHeld + held)
+	return int(math.Floor(max(room, 0) + g.rng.Float64()))
 }
--- a/policy/asks.go
+++ b/policy/asks.go
@@ -21,6 +21,15 @@
 	}
 }
 
+// renewLease asks the root of a request again before its lease expires, since the attempt is still in flight.
+func (g *Gateway) renewLease(r *request) {
+	if r.granted && r.customer.plan.MaxInFlight > 0 &&
+		(g.now-r.askedAt).Seconds() > leaseMeanLatencies/2*r.class.mean {
+		r.askedAt = g.now
+		g.emit(SendPeer{To: r.root, Data: encode(g.askFor(r))})
+	}
+}
+
 // sendAskEnded tells the root of a request that its attempt has ended or was never made.
 func (g *Gateway) sendAskEnded(r *request) {
 	g.emit(SendPeer{To: r.root, Data: encode(askEnded{r.customer.key, r.tag, !r.unitsTaken})})
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -20,9 +20,9 @@
 	return min(1, g.cfg.MinColdShare+(1-g.cfg.MinColdShare)*max(age, 0))
 }
 
-// inFlightAt returns the attempts in flight at a server: this gateway's and, as last reported, the others'.
+// inFlightAt returns the attempts at a server: this gateway's, reserved or in flight, and the others'.
 func (g *Gateway) inFlightAt(s *server) float64 {
-	return float64(s.inFlight) + max(s.peerInFlight, g.loadFromOthers(s))
+	return float64(s.inFlight+s.reserved) + max(s.peerInFlight, g.loadFromOthers(s))
 }
 
 // predictLatency returns the latency, in seconds, expected of a server for a class.
@@ -72,15 +72,18 @@
 	}
 	if cold := g.minCapacity(s); cold < 1 && g.cfg.MultiService == nil {
 		// This gateway's budget in a window: what a warm server receives, times the cold one's capacity.
-		s.sends = slices.DeleteFunc(s.sends, func(t time.Duration) bool { return g.now-t > g.cfg.FailTime })
 		warmRate := g.recentSends / max(1, float64(g.runningServers))
-		if float64(len(s.sends)) >= max(1, warmRate*cold*g.cfg.FailFactor*coldSafety) {
-			return false
-		}
+		return float64(g.countSends(s, g.cfg.FailTime)) < max(1, warmRate*cold*g.cfg.FailFactor*coldSafety)
 	}
 	return true
 }
 
+// countSends returns how often this gateway has sent to a server within a span, and forgets older sends.
+func (g *Gateway) countSends(s *server, span time.Duration) int {
+	s.sends = slices.DeleteFunc(s.sends, func(t time.Duration) bool { return g.now-t > span })
+	return len(s.sends)
+}
+
 // coldSendBudget returns how many sends a second this gateway may make to a cold server. Few gateways send to
 // it, so that each has whole sends; the sum stays below the server's limit even if no message arrives.
 func (g *Gateway) coldSendBudget(m Server) int {
@@ -105,12 +108,7 @@
 
 // hasColdBudget reports whether this gateway may send once more to a server that may be cold.
 func (g *Gateway) hasColdBudget(s *server) bool {
-	if g.now >= s.ColdUntil {
-		return true
-	}
-	s.sends = slices.DeleteFunc(s.sends,
-		func(t time.Duration) bool { return g.now-t > g.cfg.MultiService.ColdWindow })
-	return len(s.sends) < s.coldSendQuota
+	return g.now >= s.ColdUntil || g.countSends(s, g.cfg.MultiService.ColdWindow) < s.coldSendQuota
 }
 
 // pickServer chooses a server, or nil when none has room. It skips ejected servers unless too many are; only
@@ -118,7 +116,7 @@
 func (g *Gateway) pickServer(r *request) *server {
 	var candidates, ejected []*server
 	for _, s := range g.serverList {
-		if s == r.lastServer || !g.usable(s, r) || !s.allowedByTrust(r) {
+		if !r.mayGoTo(s) || !g.usable(s, r) || !s.allowedByTrust(r) {
 			continue
 		}
 		if s.trust.Trial && s.mayTakeTrial(r) {
--- a/policy/events.go
+++ b/policy/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -57,6 +58,42 @@
 	return out
 }
 
+// onTick does the periodic work: it decays what was learned, checks overdue attempts and held requests, and sends reports.
+func (g *Gateway) onTick() {
+	dt := g.now - g.lastTick
+	g.lastTick, g.tickCount = g.now, g.tickCount+1
+	g.emit(SetTimer{Token: "tick", After: g.tickInterval})
+	if g.tickCount%uint32(max(1, time.Second/g.tickInterval)) == 0 {
+		g.watchServers()
+		g.dropExpired()
+	}
+	g.recentSends *= math.Exp(-float64(dt) / float64(g.cfg.FailTime)) // unused with MultiService (FailTime 0)
+	g.sumPeerLoads()
+	g.adaptAdmission(dt)
+	g.recentMessages *= math.Exp(-dt.Seconds() / demandDecay.Seconds())
+	for _, s := range g.serverList {
+		// A server that gets no requests yields no new data: old measurements decay.
+		s.decay(min(1, dt.Seconds()/healthDecayTime.Seconds()))
+		g.checkOverdue(s)
+		if slices.Contains(s.watchers[:], g.cfg.Me) {
+			g.publishVerdict(s)
+		}
+	}
+	g.measureInFlight(dt)
+	g.refuseOverdue()
+	for _, c := range slices.Clone(g.waiting) {
+		if g.cfg.MultiService != nil {
+			g.serveWaiting()
+			break
+		}
+		g.sendHeld(c, g.releasable(c))
+	}
+	if g.cfg.CanMessagePeers && (!g.usesRoots || g.tickCount%rootReportTicks == 0) &&
+		g.tickCount%g.reportTicks == 0 && !g.borrows {
+		g.sendReports()
+	}
+}
+
 // onServerList takes over the server list or changes to it.
 func (g *Gateway) onServerList(ev ServerList) {
 	if ev.Kind == WatchFailed {
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -19,6 +19,9 @@
 	c.reportsLeft = reportsPerChange
 	g.endAttempt(r, ev.Code)
 	g.learnFromOutcome(s, r, ev)
+	if r.cancelled && (r.done || ev.ClientAnswered || ev.Code == OK) {
+		g.retryBudgets[r.service]++ // the retry for which it was cancelled is not made
+	}
 	if ev.Code == OK && ev.ActualUnits > 0 && ev.ActualUnits != r.units {
 		c.adjustUnits(ev.ActualUnits - r.units)
 	}
@@ -27,7 +30,7 @@
 		g.finish(r)
 	case ev.Code == NoRetry || g.now >= r.deadline || !g.mayRetry(r, ev.Code):
 		g.refuse(r)
-	case !g.underCap(c, false) || !g.trySend(r):
+	case !r.cancelled && !g.underCap(c, false) || !g.trySend(r): // a cancelled one keeps its place
 		g.hold(r)
 	}
 	g.releaseHeld(c)
@@ -64,24 +67,6 @@
 	}
 }
 
-// reportOutcome sends an outcome to the server's watchers, or records it if this gateway is one.
-func (g *Gateway) reportOutcome(s *server, cl *class, code Code, latency time.Duration) {
-	if cl.Name == "" {
-		return // not a configured class
-	}
-	for i, w := range s.watchers {
-		if i > 0 && (code != ConnectFailed || !g.usesRoots) {
-			break
-		}
-		if w == g.cfg.Me {
-			g.recordOutcome(s, cl.index, code, latency)
-			continue
-		}
-		ms := uint16(min(max(0, latency.Milliseconds()), math.MaxUint16))
-		g.emit(SendPeer{To: w, Data: encode(outcomeReport{uint32(s.ID), byte(cl.index), byte(code), ms})})
-	}
-}
-
 // recordOutcome adds an outcome to the health of a watched server. One that rejects work counts as very slow.
 func (g *Gateway) recordOutcome(s *server, class int, code Code, latency time.Duration) {
 	cl := g.classes[g.cfg.Classes[class].Name]
@@ -138,15 +123,11 @@
 	}
 }
 
-// checkOverdue counts attempts far older than predicted as failed and, within the retry budget, cancels those
-// that may run elsewhere. This guards against servers that never answer; it adds load if all slow down.
+// checkOverdue counts attempts far older than predicted as failed and moves them to other servers where that
+// is possible. This guards against servers that never answer; it adds load if all slow down.
 func (g *Gateway) checkOverdue(s *server) {
 	for _, r := range slices.Clone(s.attempts) {
-		if r.granted && r.customer.plan.MaxInFlight > 0 &&
-			(g.now-r.askedAt).Seconds() > leaseMeanLatencies/2*r.class.mean {
-			r.askedAt = g.now // renews the root's lease: the attempt is still in flight
-			g.emit(SendPeer{To: r.root, Data: encode(g.askFor(r))})
-		}
+		g.renewLease(r)
 		age := (g.now - r.sentAt).Seconds() /
 			max(g.predictLatency(s, r.class), minOverdueShare*r.class.LatencyTarget.Seconds())
 		health := g.healthOf(s, r.class)
@@ -155,12 +136,11 @@
 			waitLonger && health != nil && health.lastOK > r.sentAt { // the server has answered others since
 			continue
 		}
-		r.cancelled = true
-		g.reportOutcome(s, r.class, TimedOut, g.now-r.sentAt)
-		if g.cfg.CanCancel && r.effect == Safe && g.retryBudgets[r.service] >= 1 &&
-			(r.maxAttempts == 0 || r.attempts < r.maxAttempts) {
-			g.emit(Cancel{ID: r.id, Attempt: r.attempts - 1})
+		if !r.overdue {
+			r.overdue = true
+			g.reportOutcome(s, r.class, TimedOut, g.now-r.sentAt)
 		}
+		g.moveElsewhere(r)
 	}
 }
 
--- a/policy/reporting.go
+++ b/policy/reporting.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 // buildReport builds the report for one peer: the servers at which this gateway has attempts
@@ -113,3 +114,21 @@
 func (c *customer) hasNews() bool {
 	return len(c.views) > 0 && (c.inFlight > 0 || c.meanInFlight > 0 || len(c.held) > 0 || c.reportsLeft > 0)
 }
+
+// reportOutcome sends an outcome to the server's watchers, or records it if this gateway is one.
+func (g *Gateway) reportOutcome(s *server, cl *class, code Code, latency time.Duration) {
+	if cl.Name == "" {
+		return // not a configured class
+	}
+	for i, w := range s.watchers {
+		if i > 0 && (code != ConnectFailed || !g.usesRoots) {
+			break
+		}
+		if w == g.cfg.Me {
+			g.recordOutcome(s, cl.index, code, latency)
+			continue
+		}
+		ms := uint16(min(max(0, latency.Milliseconds()), math.MaxUint16))
+		g.emit(SendPeer{To: w, Data: encode(outcomeReport{uint32(s.ID), byte(cl.index), byte(code), ms})})
+	}
+}
--- a/policy/request.go
+++ b/policy/request.go
@@ -26,15 +26,19 @@
 	ranZone      string  // where and when the first such attempt ran, for Keyed classes
 	ranCell      int
 	ranAt        time.Duration
-	done         bool    // it needs no answer any more
-	streams      bool    // its answer has begun as a stream
-	cancelled    bool    // its attempt was found overdue, and cancelled if possible
-	askChance    float64 // probability with which its root is asked for it
-	isRetry      bool    // the client marked it as a retry
-	remote       bool    // gateway root received it from a client and asks for it here
-	root         int     // the gateway that is asked for it; if remote, the one that asks
-	tag          uint32  // identifies it between the two gateways
-	askCount     int     // number of asks sent for it
+	done         bool          // it needs no answer any more
+	streams      bool          // its answer has begun as a stream
+	overdue      bool          // its attempt was found overdue
+	cancelled    bool          // its attempt was cancelled in favour of another one
+	movedFrom    *server       // where an attempt was last cancelled so: it may take the request again, beyond maxAttempts
+	noMoveUntil  time.Duration // until then no other server is looked for
+	movedTo      *server       // the server reserved for the other attempt; nil: none
+	askChance    float64       // probability with which its root is asked for it
+	isRetry      bool          // the client marked it as a retry
+	remote       bool          // gateway root received it from a client and asks for it here
+	root         int           // the gateway that is asked for it; if remote, the one that asks
+	tag          uint32        // identifies it between the two gateways
+	askCount     int           // number of asks sent for it
 	askedAt      time.Duration
 	askUntil     time.Duration // when the wait for the reply ends
 	heldAtRoot   bool          // the root holds it and will reply again
@@ -60,8 +64,12 @@
 
 // startAttempt records that an attempt of a request goes to a server.
 func (g *Gateway) startAttempt(r *request, s *server) {
+	if r.triesUsed() {
+		r.movedFrom = nil // back at that server, once
+	}
 	r.customer.addInFlight(g.now, 1)
-	r.server, r.lastServer, r.sentAt, r.loadAtSend, r.cancelled = s, s, g.now, g.inFlightAt(s), false
+	r.server, r.lastServer, r.sentAt, r.loadAtSend = s, s, g.now, g.inFlightAt(s)
+	r.overdue, r.cancelled = false, false
 	r.attempts++
 	s.inFlight, g.inFlight = s.inFlight+1, g.inFlight+1
 	s.attempts = append(s.attempts, r)
@@ -74,6 +82,10 @@
 		r.mayHaveRun, r.ranZone, r.ranCell, r.ranAt = true, s.Zone, s.Cell, r.sentAt
 	}
 	r.server, r.streams = nil, false
+	if r.movedTo != nil {
+		r.movedTo.reserved--
+		r.movedTo = nil
+	}
 	s.inFlight, g.inFlight = s.inFlight-1, g.inFlight-1
 	r.customer.addInFlight(g.now, -1)
 	if i := slices.Index(s.attempts, r); i >= 0 {
--- a/policy/server.go
+++ b/policy/server.go
@@ -20,6 +20,7 @@
 	Server
 	hash            uint16                       // identifies it in reports
 	inFlight        int                          // own attempts in flight there
+	reserved        int                          // requests for which a place there is reserved
 	slowdown        float64                      // its latency relative to the fleet's, at equal load
 	peerInFlight    float64                      // attempts in flight there, as peers last reported
 	attempts        []*request                   // own attempts in flight, oldest first
