Await a server that is at work until its client's deadline

Cause: one time, 40 ms before the client's deadline, ended waiting, sending and the attempt in flight alike. By trace: sent on at 0 ms, 504 at 963 of 1,000, the server's answer at 980.

Change: a request that no server has is answered at that time, as before; connecting, probing and uploading end by it. An attempt that was sent in full is awaited until the client's deadline or the route's timeout. Servers are told what they were told before.

--- a/internal/dataplane/node/actions.go
+++ b/internal/dataplane/node/actions.go
@@ -66,13 +66,15 @@
 		l.queue = append(l.queue, notSent)
 		return
 	}
-	a := &attempt{id: s.ID, number: c.attempts - 1, server: s.Server, requestedAt: now, deadline: c.answerBy}
+	a := &attempt{id: s.ID, number: c.attempts - 1, server: s.Server, requestedAt: now, sendBy: c.answerBy, deadline: c.deadline,
+		atMostOnce: c.effect == policy.Unsafe}
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
+		a.sendBy = min(a.sendBy, a.deadline)
 	}
-	a.writeBy, a.atMostOnce = a.deadline, c.effect == policy.Unsafe
+	a.repeatBy = a.sendBy
 	if c.mayHaveRunSince > 0 && c.effect == policy.Keyed {
-		a.writeBy = min(a.writeBy, c.mayHaveRunSince+c.class.DedupWindow)
+		a.repeatBy = min(a.repeatBy, c.mayHaveRunSince+c.class.DedupWindow)
 	}
 	c.inFlight = a
 	c.commands <- command{attempt: a}
--- a/internal/dataplane/node/forward.go
+++ b/internal/dataplane/node/forward.go
@@ -117,7 +117,7 @@
 // reused.
 func (u *upstream) forward(a *attempt, c *upConn, req *clientRequest, left time.Duration) (result, bool) {
 	server := u.uid(a.server)
-	if server == "" || c.SetDeadline(u.clock.time(a.deadline)) != nil {
+	if server == "" || c.SetReadDeadline(u.clock.time(a.deadline)) != nil || c.SetWriteDeadline(u.clock.time(a.sendBy)) != nil {
 		return endedResult(verdict.Unsent, errNoConnection), false
 	}
 	msg := requestBuffers.Get().(*[]byte)
--- a/internal/dataplane/node/idle.go
+++ b/internal/dataplane/node/idle.go
@@ -106,7 +106,7 @@
 		return true // the attempt was cancelled; the caller handles it
 	}
 	age := u.clock.now() - c.idleSince
-	if c.SetDeadline(u.clock.time(a.deadline)) == nil {
+	if c.SetDeadline(u.clock.time(a.sendBy)) == nil {
 		n, err := c.Write(req.method)
 		if c.probedBytes = n; err == nil {
 			world.Pause(u.clock, c.probeWait())
--- a/internal/dataplane/node/loop.go
+++ b/internal/dataplane/node/loop.go
@@ -13,10 +13,7 @@
 )
 
 const (
-	eventQueueLength = 4096
-	// answerMargin is how long before a client's deadline its answer is decided, since request and answer each take time on
-	// the network.
-	answerMargin       = 10 * time.Millisecond
+	eventQueueLength   = 4096
 	backstopDelay      = 3 * time.Millisecond  // after that, requests that the policy package left open are failed
 	disconnectInterval = 50 * time.Millisecond // between two checks for disconnected clients
 
@@ -104,10 +101,7 @@
 	}
 	l.nextID++
 	c.ID = l.nextID
-	c.answerBy = c.arrived + max(0, c.budget-answerMargin)
-	if c.managed != nil {
-		c.answerBy = c.arrived + c.budget
-	}
+	c.setTimeLimits()
 	c.Remaining = max(0, c.answerBy-l.clock.now())
 	l.requests[c.ID], l.requestsByClientID[c.clientID] = c, c
 	c.deadlineTimer = &timer{at: c.answerBy + backstopDelay, request: c}
@@ -143,7 +137,18 @@
 	l.decide(ev)
 }
 
-// failOverdue fails a request that the policy package has left open past the client's deadline.
+// checkDeadline handles the end of a request's time. Until its deadline, an attempt in flight is awaited: what is not at a
+// server yet ends by itself.
+func (l *loop) checkDeadline(c *openRequest) {
+	if c.inFlight == nil || l.clock.now() >= c.deadline {
+		l.failOverdue(c)
+		return
+	}
+	c.deadlineTimer = &timer{at: c.deadline + backstopDelay, request: c}
+	heap.Push(&l.timers, c.deadlineTimer)
+}
+
+// failOverdue fails a request that the policy package has left open past its time.
 func (l *loop) failOverdue(c *openRequest) {
 	if l.requests[c.ID] == nil {
 		return
--- a/internal/dataplane/node/managed.go
+++ b/internal/dataplane/node/managed.go
@@ -28,7 +28,6 @@
 	managedReportInterval     = 250 * time.Millisecond
 	managedDisconnectInterval = 100 * time.Millisecond // servers must stop working for a disconnected client within half a second
 	freshnessMargin           = 600 * time.Millisecond // control's statements count as stale this long before the rules say so
-	clientTransitMargin       = 40 * time.Millisecond  // an answer is decided this long before the client's deadline
 	otherZonePenalty          = 5 * time.Millisecond   // assumed cost of a server in another zone, on top of its latency
 	otherRegionPenalty        = 250 * time.Millisecond // the same for a server in another region
 	coldShare                 = 0.5
--- a/internal/dataplane/node/managedrequest.go
+++ b/internal/dataplane/node/managedrequest.go
@@ -183,13 +183,14 @@
 		return nil, unsentAnswer(400, 0, fieldID+": missing, too long or not plain")
 	}
 	c.clientID, c.managed.id = string(id), string(id)
-	c.budget = route.Timeout
+	c.budget, c.clientWaits = route.Timeout, math.MaxInt64
 	if v, n := r.valueAndCount(fieldDeadline); n == 1 {
 		ms, digits := parseDecimal(v)
 		if digits == 0 || digits > 9 {
 			return nil, unsentAnswer(400, 0, fieldDeadline+": no whole milliseconds")
 		}
-		c.budget = min(c.budget, max(0, time.Duration(ms)*time.Millisecond-clientTransitMargin))
+		c.clientWaits = time.Duration(ms) * time.Millisecond
+		c.budget = min(c.budget, c.clientWaits)
 		c.WaitedBefore = t.waitedBefore(route, int64(ms))
 	}
 	t.routes[route].requests.Add(1)
--- a/internal/dataplane/node/streams.go
+++ b/internal/dataplane/node/streams.go
@@ -157,7 +157,7 @@
 			return nil, errEarlyAnswer
 		}
 		now := u.clock.now()
-		if err := f.conn.SetReadDeadline(u.clock.time(min(now+bodyPollInterval, a.deadline, stalled))); err != nil {
+		if err := f.conn.SetReadDeadline(u.clock.time(min(now+bodyPollInterval, a.sendBy, stalled))); err != nil {
 			return nil, err
 		}
 		p, err := f.conn.input.nextPiece()
@@ -165,7 +165,7 @@
 			return p, err
 		}
 		switch now = u.clock.now(); {
-		case now >= a.deadline:
+		case now >= a.sendBy:
 			return nil, errDeadlinePassed
 		case now >= stalled:
 			return nil, err
@@ -179,7 +179,7 @@
 // bytes written.
 func (u *upstream) writePart(a *attempt, c *upConn, b []byte) (n int, err error) {
 	for {
-		if err := c.SetWriteDeadline(u.clock.time(min(u.clock.now()+bodyPollInterval, a.deadline))); err != nil {
+		if err := c.SetWriteDeadline(u.clock.time(min(u.clock.now()+bodyPollInterval, a.sendBy))); err != nil {
 			return n, err
 		}
 		k, err := c.Write(b[n:])
@@ -187,7 +187,7 @@
 		switch {
 		case err == nil || n == len(b) || !errors.Is(err, os.ErrDeadlineExceeded):
 			return n, err
-		case u.clock.now() >= a.deadline:
+		case u.clock.now() >= a.sendBy:
 			return n, errDeadlinePassed
 		case world.Peek(c.Conn) != world.PeekQuiet:
 			return n, errEarlyAnswer
--- a/internal/dataplane/node/timers.go
+++ b/internal/dataplane/node/timers.go
@@ -22,7 +22,7 @@
 		t := heap.Pop(&l.timers).(*timer)
 		switch {
 		case t.request != nil:
-			l.failOverdue(t.request)
+			l.checkDeadline(t.request)
 		case t.isDisconnectCheck:
 			l.checkDisconnects()
 		default:
--- a/internal/dataplane/node/upstream.go
+++ b/internal/dataplane/node/upstream.go
@@ -80,8 +80,9 @@
 	number      int
 	server      policy.ServerID
 	requestedAt time.Duration // when the policy asked for the attempt
+	sendBy      time.Duration // when the attempt is abandoned unless the whole request was sent
+	repeatBy    time.Duration // a repeat sent later could run twice, because servers no longer recognize it
 	deadline    time.Duration // when the attempt is abandoned
-	writeBy     time.Duration // a repeat written later could run twice, because servers no longer recognize it
 	atMostOnce  bool          // the request must not be sent again if it may have run
 
 	mu          sync.Mutex
@@ -198,17 +199,17 @@
 	}
 	now := u.clock.now()
 	switch {
-	case now >= a.deadline:
+	case now >= a.sendBy:
 		u.discard(c)
 		return endedResult(verdict.SendAborted, errDeadlinePassed)
-	case !a.setConn(c) || now >= a.writeBy || u.isClosedToWork(a.server):
+	case !a.setConn(c) || now >= a.repeatBy || u.isClosedToWork(a.server):
 		u.discard(c)
 		return endedResult(verdict.Unsent, errAttemptCancelled)
 	}
 	var r result
 	var reuse bool
 	if u.isManaged {
-		r, reuse = u.forward(a, c, req, a.deadline-now)
+		r, reuse = u.forward(a, c, req, a.sendBy-now)
 	} else {
 		r, reuse = u.exchange(a, c, req, a.deadline-now)
 	}
@@ -236,7 +237,7 @@
 
 // dial connects to a server. Cancelling the attempt interrupts it.
 func (u *upstream) dial(a *attempt, addr string) (net.Conn, error) {
-	ctx, stop := world.WithTimeout(context.Background(), u.clock.Clock, min(u.dialTimeout, a.deadline-u.clock.now()))
+	ctx, stop := world.WithTimeout(context.Background(), u.clock.Clock, min(u.dialTimeout, a.sendBy-u.clock.now()))
 	defer stop()
 	a.mu.Lock()
 	if a.isCancelled {
