Send no request twice on one connection to a server

Cause: an answer was told from others by its request's id alone, and a request that came back to a server that had turned it away went on the same kept connection. There the late copy of the refusal stands ahead of the answer, under the same id. The test's trace on: refused by both servers, sent to the first again, run there, and 503 to the client.

Change: a connection remembers the ids that it has carried, as hashes, and is passed over by a request with one of them.

--- a/internal/dataplane/node/answers_test.go
+++ b/internal/dataplane/node/answers_test.go
@@ -34,12 +34,15 @@
 	actCutBody
 	actReset
 	actNotRun
+	actNotRunTwice // the copy comes late, in the place of the next answer on the connection
 	actMisdirected
 	serverActCount
 )
 
 // mayRun reports whether the request may have run at a server that acts like this.
-func (a serverAct) mayRun() bool { return a != actNotRun && a != actMisdirected }
+func (a serverAct) mayRun() bool {
+	return a != actNotRun && a != actNotRunTwice && a != actMisdirected
+}
 
 // sendsExtra reports whether the server sends bytes that belong to no request's answer.
 func (a serverAct) sendsExtra() bool {
@@ -64,6 +67,7 @@
 type script struct {
 	clients    [][]clientStep
 	serverActs []serverAct
+	servers    int
 	reload     time.Duration // 0: never
 	stop       time.Duration // 0: never
 }
@@ -75,6 +79,7 @@
 	return script{
 		clients:    rapid.SliceOfN(rapid.SliceOfN(step, 1, 7), 1, 3).Draw(t, "clients"),
 		serverActs: rapid.SliceOfN(act, 1, 10).Draw(t, "acts"),
+		servers:    rapid.IntRange(2, 3).Draw(t, "servers"),
 		reload:     when.Draw(t, "reload"),
 		stop:       when.Draw(t, "stop"),
 	}
@@ -110,6 +115,16 @@
 	mu       sync.Mutex
 	attempts []*observedAttempt
 	clients  []*observedClient
+	late     map[net.Conn]string // copies of answers that are still to come
+}
+
+// takeLate returns the copy that comes ahead of a connection's next answer, and sets that for the one after it.
+func (p *answersScenario) takeLate(c net.Conn, next string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text := p.late[c]
+	p.late[c] = next
+	return text
 }
 
 const (
@@ -138,7 +153,7 @@
 	body := "yes " + a.id
 	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", own, len(body), body)
 	refusal := "Attempt-Id: " + a.id + "\r\nContent-Length: 0\r\n"
-	text, goesOn := whole, true
+	text, copied, goesOn := whole, "", true
 	switch a.act {
 	case actServeLate:
 		time.Sleep(lateDelay)
@@ -169,10 +184,13 @@
 		return reset(c, nil)
 	case actNotRun:
 		text = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n" + refusal + "\r\n"
+	case actNotRunTwice:
+		text = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n" + refusal + "\r\n"
+		copied = text
 	case actMisdirected:
 		text = "HTTP/1.1 421 Misdirected\r\n" + refusal + "\r\n"
 	}
-	_, err := io.WriteString(c, text)
+	_, err := io.WriteString(c, p.takeLate(c, copied)+text)
 	return err == nil && goesOn
 }
 
@@ -248,7 +266,10 @@
 func (p *answersScenario) run(t *testing.T, fault string) (broken string) {
 	world := func(n *sim.Net) world.World { return &faultyNetwork{Net: n, fault: fault} }
 	runManagedIn(t, false, world, func(r *managedFixture) {
-		p.rig, r.behaviors = r, []serverBehavior{p.serve}
+		p.rig, p.late, r.behaviors = r, map[net.Conn]string{}, []serverBehavior{p.serve}
+		if p.servers > 0 {
+			r.servers = r.servers[:p.servers]
+		}
 		r.configure()
 		var all sync.WaitGroup
 		for _, steps := range p.script.clients {
--- a/internal/dataplane/node/clientrequest.go
+++ b/internal/dataplane/node/clientrequest.go
@@ -54,3 +54,11 @@
 	}
 	return 0
 }
+
+// attemptID returns the id that the request has at servers; empty under the standalone protocol.
+func (r *clientRequest) attemptID() string {
+	if r.managed == nil {
+		return ""
+	}
+	return r.managed.id
+}
--- a/internal/dataplane/node/forward.go
+++ b/internal/dataplane/node/forward.go
@@ -120,6 +120,7 @@
 	if server == "" || c.SetReadDeadline(u.clock.time(a.deadline)) != nil || c.SetWriteDeadline(u.clock.time(a.sendBy)) != nil {
 		return endedResult(verdict.Unsent, errNoConnection), false
 	}
+	c.carried.add(req.managed.id)
 	msg := requestBuffers.Get().(*[]byte)
 	b := appendForwardedRequest((*msg)[:0], req, server, req.managed.client.server.managed.workDuration(left, u.clock.now()))
 	n, err := c.Write(b[c.probedBytes:])
@@ -173,7 +174,7 @@
 	if c.input.hasUnreadBody() {
 		u.download(a, c, req, &r)
 	}
-	reuse := framed && !sawForeignAnswer && !unsent && !c.input.hasUnreadBody() && c.input.buffered() == 0 && !c.head.hasToken("Connection", "close")
+	reuse := framed && !sawForeignAnswer && !unsent && !c.carried.isFull() && !c.input.hasUnreadBody() && c.input.buffered() == 0 && !c.head.hasToken("Connection", "close")
 	if r.held == nil {
 		c.input.startMessage()
 	}
--- a/internal/dataplane/node/pool.go
+++ b/internal/dataplane/node/pool.go
@@ -81,9 +81,9 @@
 }
 
 // takeConnection returns the newest idle connection that is still usable, or else the address to dial. ok is false if
-// the connection limit is reached or the server is unknown. Under the managed protocol, a request that may run at
-// most once gets no connection of an idle age at which one broke recently.
-func (u *upstream) takeConnection(id policy.ServerID, atMostOnce bool) (c *upConn, addr string, ok bool) {
+// the connection limit is reached or the server is unknown. Under the managed protocol, a request gets no connection that has
+// carried its id, and one that may run at most once gets none of an idle age at which one broke recently.
+func (u *upstream) takeConnection(id policy.ServerID, requestID string, atMostOnce bool) (c *upConn, addr string, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
@@ -93,7 +93,7 @@
 	now, maxAge := u.clock.now(), u.idleAges.maxUsableAge(u.idleTimeout)
 	for i := len(s.idle) - 1; i >= 0; i-- {
 		c := s.idle[i]
-		if now-c.idleSince < u.reuseDelay {
+		if now-c.idleSince < u.reuseDelay || requestID != "" && c.carried.contains(requestID) {
 			continue
 		}
 		s.idle = slices.Delete(s.idle, i, i+1)
--- a/internal/dataplane/node/upstream.go
+++ b/internal/dataplane/node/upstream.go
@@ -59,6 +59,7 @@
 	head      head
 	idleSince time.Duration
 	upstream  *upstream
+	carried   carriedIDs // managed protocol
 
 	fastestConnect time.Duration // shortest time that a connection to the server took to establish
 	probedBytes    int           // bytes of the request that a probe has already written
@@ -175,10 +176,10 @@
 // do carries out an attempt. If the attempt did not complete, its connection is closed before do returns, except for
 // the connection of a held answer.
 func (u *upstream) do(a *attempt, req *clientRequest) result {
-	c, addr, ok := u.takeConnection(a.server, a.atMostOnce)
+	c, addr, ok := u.takeConnection(a.server, req.attemptID(), a.atMostOnce)
 	for ok && c != nil && u.needsProbe(a, c) && !u.probe(a, c, req) {
 		u.discard(c)
-		c, addr, ok = u.takeConnection(a.server, a.atMostOnce)
+		c, addr, ok = u.takeConnection(a.server, req.attemptID(), a.atMostOnce)
 	}
 	if !ok {
 		return endedResult(verdict.Unsent, errNoConnection)
