Pass no interim answer on as the final one during an upload

What callers saw: a client that uploads more than a window's bytes got "100 Continue" as its final answer, if its server sent that with the request's Attempt-Id meanwhile; without the id, four interim answers ended the attempt with 502.

Cause: while part of a request is unsent, interim answers are handed to the caller of readAnswer, which looked at the id alone.

Test: TestInterimAnswerDuringUpload, status 100 before.

--- a/internal/dataplane/node/forward.go
+++ b/internal/dataplane/node/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -10,9 +11,12 @@
 )
 
 const (
-	maxForeignAnswers = 4 // answers to other requests that are skipped before the expected one
+	maxForeignAnswers = 4   // answers to other requests that are skipped before the expected one
+	firstFinalStatus  = 200 // lower ones belong to interim answers
 )
 
+var errNoAnswer = errors.New("none of the answers that came belongs to the request")
+
 // isHopByHop reports whether a header field concerns one connection only (RFC 9110, 7.6.1) or the body's framing, which the
 // proxy writes itself.
 func isHopByHop(name []byte) bool {
@@ -112,9 +116,9 @@
 	return append(b, body...)
 }
 
-// forward writes the request in one call and reads its answer, which it recognizes by its id. As in exchange, a request of
-// which the last byte was not written can't have run, and any other may have. It also reports whether the connection can be
-// reused.
+// forward writes the request in one call and reads its answer, which it recognizes by its id: the connection carries that id
+// once. As in exchange, a request of which the last byte was not written can't have run, and any other may have. It also
+// reports whether the connection can be reused.
 func (u *upstream) forward(a *attempt, c *upConn, req *clientRequest, left time.Duration) (result, bool) {
 	server := u.uid(a.server)
 	if server == "" || c.SetReadDeadline(u.clock.time(a.deadline)) != nil || c.SetWriteDeadline(u.clock.time(a.sendBy)) != nil {
@@ -132,49 +136,95 @@
 	if !complete {
 		return endedResult(verdict.Unsent, err), false
 	}
-	headRequest, written := string(req.method) == "HEAD", u.clock.now()
-	sawForeignAnswer := false
-	status, body, framed, unsent := 0, []byte(nil), false, req.managed.client.hasUnreadBody()
-	for range maxForeignAnswers {
-		if err != nil {
-			break
-		}
-		if unsent {
-			var end *result
-			if unsent, end = u.upload(a, c, req); end != nil {
-				return *end, false
+	if err != nil {
+		return u.errorResult(a, err), false
+	}
+	answer, end := u.awaitAnswer(a, c, req)
+	if end != nil {
+		return *end, false
+	}
+	return u.takeAnswer(a, c, req, answer)
+}
+
+// receivedAnswer is a server's answer of which the head and the first part of the body were read.
+type receivedAnswer struct {
+	status     int
+	body       []byte
+	framed     bool          // its end is known from its framing
+	unsent     bool          // part of the request's body is not sent, and won't be
+	sawForeign bool          // answers to other requests came first
+	writtenAt  time.Duration // when the last byte of the request was written
+}
+
+// awaitAnswer reads up to the answer that bears the request's id, and sends the rest of a long body before it. end is nil
+// unless the attempt has ended without an answer.
+func (u *upstream) awaitAnswer(a *attempt, c *upConn, req *clientRequest) (answer receivedAnswer, end *result) {
+	answer.unsent, answer.writtenAt = req.managed.client.hasUnreadBody(), u.clock.now()
+	err := errNoAnswer
+	for foreign, interim := 0, 0; foreign < maxForeignAnswers && interim <= maxInterimAnswers; {
+		if answer.unsent {
+			if answer.unsent, end = u.upload(a, c, req); end != nil {
+				return answer, end
 			}
-			written = u.clock.now()
+			answer.writtenAt = u.clock.now()
+		}
+		answer.status, answer.body, answer.framed, err = c.readAnswer(string(req.method) == "HEAD", answer.unsent)
+		if err == nil && answer.status < firstFinalStatus { // while the request is still being sent
+			interim++
+			err = errNoAnswer
+			c.input.startMessage()
+			continue
 		}
-		if status, body, framed, err = c.readAnswer(headRequest, unsent); err != nil || string(c.head.get(fieldID)) == req.managed.id {
+		if err != nil || string(c.head.get(fieldID)) == req.managed.id {
 			break
 		}
-		if !framed {
-			err = errFraming
+		foreign++
+		answer.sawForeign = true
+		if err = c.skipAnswer(answer.framed); err != nil {
+			break
 		}
-		for p := []byte{0}; len(p) > 0 && err == nil && c.input.hasUnreadBody(); {
-			p, err = c.input.nextPiece()
+		err = errNoAnswer
+	}
+	if err == nil {
+		return answer, nil
+	}
+	r := u.errorResult(a, err)
+	if answer.unsent && !req.managed.client.hasBegunLastChunk() { // the remainder will never be sent, so the request can't run
+		r = endedResult(verdict.Unsent, err)
+	}
+	r.cannotRepeat, r.sawForeignAnswers = req.managed.client.hasDiscardedBody(), answer.sawForeign
+	return answer, &r
+}
+
+// skipAnswer reads the rest of an answer that belongs to another request.
+func (c *upConn) skipAnswer(framed bool) error {
+	if !framed {
+		return errFraming
+	}
+	for c.input.hasUnreadBody() {
+		piece, err := c.input.nextPiece()
+		if err != nil {
+			return err
 		}
-		c.input.startMessage() // the answer belongs to another request
-		status, sawForeignAnswer = 0, true
-	}
-	spent := req.managed.client.hasDiscardedBody()
-	if err != nil || status == 0 {
-		r := u.errorResult(a, err)
-		if unsent && !req.managed.client.hasBegunLastChunk() { // the remainder will never be sent, so the request can't run
-			r = endedResult(verdict.Unsent, err)
+		if len(piece) == 0 {
+			break
 		}
-		r.cannotRepeat, r.sawForeignAnswers = spent, sawForeignAnswer
-		return r, false
 	}
-	r := classifyAnswer(c, status, body, framed, headRequest)
-	if r.cannotRepeat = spent; spent || c.input.hasUnreadBody() {
-		r.latency = max(1, u.clock.now()-written)
+	c.input.startMessage()
+	return nil
+}
+
+// takeAnswer classifies an answer and streams it if it is long. It also reports whether the connection can be reused.
+func (u *upstream) takeAnswer(a *attempt, c *upConn, req *clientRequest, answer receivedAnswer) (result, bool) {
+	r := classifyAnswer(c, answer.status, answer.body, answer.framed, string(req.method) == "HEAD")
+	r.cannotRepeat = req.managed.client.hasDiscardedBody()
+	if r.cannotRepeat || c.input.hasUnreadBody() {
+		r.latency = max(1, u.clock.now()-answer.writtenAt)
 	}
 	if c.input.hasUnreadBody() {
 		u.download(a, c, req, &r)
 	}
-	reuse := framed && !sawForeignAnswer && !unsent && !c.carried.isFull() && !c.input.hasUnreadBody() && c.input.buffered() == 0 && !c.head.hasToken("Connection", "close")
+	reuse := answer.framed && !answer.sawForeign && !answer.unsent && !c.carried.isFull() && !c.input.hasUnreadBody() && c.input.buffered() == 0 && !c.head.hasToken("Connection", "close")
 	if r.held == nil {
 		c.input.startMessage()
 	}
