--- a/internal/testbed/emulator/answer.go
+++ b/internal/testbed/emulator/answer.go
@@ -28,6 +28,7 @@
 	garbled      // bytes that form no answer
 	surplus      // more comes behind it
 	belated      // the one before comes once more, ahead of it
+	copied       // it comes once more, ahead of the next one on the connection
 	failed       // a 500
 	last         // the connection is closed behind it
 	fates
@@ -51,7 +52,20 @@
 // refuse answers that the request did not run.
 func (v *visit) refuse(status int) bool {
 	v.s.o.Book.answered(v.arrival, status, "", "", false)
-	_, err := v.c.Write(fmt.Appendf(nil, "HTTP/1.1 %d Refused\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, v.id))
+	all := fmt.Appendf(nil, "HTTP/1.1 %d Refused\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, v.id)
+	return v.write(all, v.s.fate())
+}
+
+// write writes an answer behind the copy that is due on the connection. A copied one will come again.
+func (v *visit) write(all []byte, f fate) bool {
+	v.s.mu.Lock()
+	due := v.s.copies[v.c]
+	delete(v.s.copies, v.c)
+	if f == copied {
+		v.s.copies[v.c] = all
+	}
+	v.s.mu.Unlock()
+	_, err := v.c.Write(append(due, all...))
 	return err == nil
 }
 
@@ -104,6 +118,5 @@
 		_, err := v.c.Write(append(bytes.Clone(previous), all...))
 		return err == nil
 	}
-	_, err := v.c.Write(all)
-	return err == nil && f != last
+	return v.write(all, f) && f != last
 }
--- a/internal/testbed/emulator/layout.go
+++ b/internal/testbed/emulator/layout.go
@@ -25,6 +25,8 @@
 	Each     int
 	Capacity int
 	Work     time.Duration
+	LongPart float64 // share of the requests that take LongWork times as long
+	LongWork float64
 	MaxConns int
 	Warmup   time.Duration
 	WarmPerS float64
--- a/internal/testbed/emulator/server.go
+++ b/internal/testbed/emulator/server.go
@@ -45,7 +45,8 @@
 	lies     bool          // its health answer says the reverse
 	forgets  time.Duration // connections that stood idle for so long
 	sealed   int
-	previous []byte // the last whole answer
+	previous []byte              // the last whole answer
+	copies   map[net.Conn][]byte // by connection, a copy of an answer that comes in the place of the next one
 }
 
 const (
@@ -86,7 +87,7 @@
 
 func (o *Cluster) serveAt(m Machine, service, zone, region string) (*Server, error) {
 	s := &Server{o: o, Service: service, Zone: zone, Region: region, machine: m, process: m.Start(), Address: address(m.IP(), portServer),
-		began: time.Now(), state: "ready", pace: 0.7 + 0.6*o.chance(), spoil: o.layout.Spoil}
+		began: time.Now(), state: "ready", pace: 0.7 + 0.6*o.chance(), spoil: o.layout.Spoil, copies: map[net.Conn][]byte{}}
 	for _, spec := range o.layout.Services {
 		if spec.Name == service {
 			s.spec = spec
@@ -183,6 +184,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.conns--
+		delete(s.copies, c)
 	}()
 	if over {
 		_ = c.(interface{ SetLinger(int) error }).SetLinger(0)
@@ -289,6 +291,9 @@
 	if s.o.begun && time.Since(s.began) < slowFor*time.Millisecond {
 		d *= slowStart
 	}
+	if s.spec.LongPart > 0 && s.o.chance() < s.spec.LongPart {
+		d *= s.spec.LongWork
+	}
 	return time.Duration(d)
 }
 
--- a/internal/testbed/experiment/grow.go
+++ b/internal/testbed/experiment/grow.go
@@ -29,6 +29,7 @@
 	}
 	for _, s := range d.Services {
 		l.Services = append(l.Services, emulator.Service{Name: s.Name, Zones: s.Zones, Each: s.Each, Capacity: s.Slots,
+			LongPart: s.LongPart, LongWork: s.LongWork,
 			Work: time.Duration(s.WorkMS * float64(msec)), MaxConns: s.MaxConns, Warmup: time.Duration(s.WarmMS) * msec, WarmPerS: s.WarmPerS})
 	}
 	for _, r := range d.Routes {
--- a/internal/testbed/scenario/day.go
+++ b/internal/testbed/scenario/day.go
@@ -53,6 +53,8 @@
 	Each     int      `toml:"each" min:"1" max:"500"` // servers in each of them
 	Slots    int      `toml:"slots" min:"1" max:"1000"`
 	WorkMS   float64  `toml:"work_ms" min:"0" max:"60000"`
+	LongPart float64  `toml:"long_part,omitempty" min:"0" max:"1"` // share of the requests that take long_work times as long
+	LongWork float64  `toml:"long_work,omitempty" min:"0" max:"100"`
 	MaxConns int      `toml:"max_conns" min:"0" max:"100000"` // 0: any
 	WarmMS   int      `toml:"warmup_ms" min:"0" max:"600000"`
 	WarmPerS float64  `toml:"warmup_per_s" min:"0" max:"100000"`
--- a/internal/testbed/scenario/draw.go
+++ b/internal/testbed/scenario/draw.go
@@ -32,6 +32,7 @@
 	if r.Float64() < 0.2 {
 		d.Long = 60_000
 	}
+	d.drawServers(rand.New(rand.NewPCG(seed, serverStream)))
 	work := 0.0 // that a request takes on average, in seconds
 	weights := 0.0
 	for _, rt := range d.Routes {
@@ -40,12 +41,12 @@
 	}
 	slots := 0.0
 	for _, s := range d.Services {
-		slots += float64(s.Slots * s.Each * len(d.Zones))
+		slots += float64(s.Slots * d.serversOf(s))
 	}
 	d.Rate = math.Round(m.Load*slots/(work/weights)*10) / 10
 	for i := range d.Services { // a server that turns cold bears what it has had: nobody can know of it at once
 		s := &d.Services[i]
-		s.WarmPerS = math.Max(s.WarmPerS, math.Ceil(d.Rate/float64(s.Each*len(d.Zones))))
+		s.WarmPerS = math.Max(s.WarmPerS, math.Ceil(d.Rate/float64(d.serversOf(*s))))
 	}
 	var kinds []Trouble
 	for _, t := range Troubles {
@@ -88,6 +89,30 @@
 	return d
 }
 
+// serversOf returns how many servers a service has.
+func (d *Day) serversOf(s Service) int {
+	if len(s.Zones) > 0 {
+		return s.Each * len(s.Zones)
+	}
+	return s.Each * len(d.Zones)
+}
+
+// serverStream is the stream of chances from which the kinds of servers are drawn, so that other draws don't depend on them.
+const serverStream = 0x73657276657273
+
+// drawServers lets some requests of some days take far longer than most, also where one region alone may serve them.
+func (d *Day) drawServers(r *rand.Rand) {
+	if r.Float64() >= 0.3 {
+		return
+	}
+	for i := range d.Services {
+		d.Services[i].LongPart, d.Services[i].LongWork = 0.05, 8
+	}
+	if len(d.Zones) == 1 || r.Float64() < 0.5 {
+		d.Routes[0].Homes = []string{one(r, d.Zones).Region}
+	}
+}
+
 // coreRests is how long the core has after each trouble, in seconds: the system bears the loss of one machine at once.
 const coreRests = 5
 
@@ -186,7 +211,7 @@
 		s.Zone = one(r, d.Zones).Name
 	case aServer:
 		x := one(r, d.Services)
-		s.Service, s.Server = x.Name, r.IntN(x.Each*len(d.Zones))
+		s.Service, s.Server = x.Name, r.IntN(d.serversOf(x))
 	case aRoute:
 		s.Route, s.Skip = one(r, d.Routes).Name, r.IntN(3)
 	case aTenant:
